--- /dev/null
+++ b/check.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Everything that main must pass; `.ci/run` calls it too. No step hangs on the clock or the machine.
+set -eux
+cd "$(dirname "$0")"
+cargo build --release --locked
+cargo fmt --all --check
+cargo clippy --workspace --all-targets --locked -- -D warnings
+RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
+cargo test --workspace --locked
--- /dev/null
+++ b/simhost/src/host.rs
@@ -0,0 +1,447 @@
+//! Hosts the balancers: names in, names out, and each event to the instance that it is for.
+
+use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
+use ryelead::*;
+use std::collections::{BTreeMap, HashMap};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+
+/// One server of a numbered catalogue; the name is shared by all who refer to it.
+#[derive(Debug, Clone)]
+struct Known {
+    name: Rc<str>,
+    line: Listed,
+}
+
+/// What an open request still waits for, so that its name can be dropped afterwards.
+#[derive(Debug)]
+struct Ticket {
+    id: RequestId,
+    out: u32,
+    ended: bool,
+}
+
+/// One life of one instance.
+struct Instance {
+    balancer: Balancer,
+    servers: HashMap<Rc<str>, ServerId>,
+    server_names: Vec<Rc<str>>,
+    tickets: HashMap<Rc<str>, Ticket>,
+    ticket_names: HashMap<RequestId, Rc<str>>,
+    next_request: u64,
+}
+
+/// All instances of this process and the catalogues, the only thing that they share.
+#[derive(Default)]
+pub struct Host {
+    catalogues: BTreeMap<u32, Vec<Known>>,
+    instances: BTreeMap<u32, Instance>,
+    actions: Vec<Action>,
+}
+
+impl Host {
+    /// Plays one batch; an error is a fault of the batch, in plain words.
+    pub fn play(&mut self, batch: Batch<'_>) -> Result<Reply, String> {
+        if !batch.clock_ms.is_finite() || batch.clock_ms < 0.0 {
+            return Err(format!("tMs is {}; a time of zero or more was expected", batch.clock_ms));
+        }
+        let now = Time::from_ms(batch.clock_ms);
+        let mut reply = Reply { round: batch.round, parts: Vec::new() };
+        for part in batch.parts {
+            let who = part.who;
+            let mut outbox = Vec::new();
+            for incoming in part.inbox {
+                self.one(now, who, incoming, &mut outbox)
+                    .map_err(|fault| format!("instance {who}: {fault}"))?;
+            }
+            if !outbox.is_empty() {
+                reply.parts.push(ReplyPart { who, outbox });
+            }
+        }
+        Ok(reply)
+    }
+
+    fn one(
+        &mut self,
+        now: Time,
+        who: u32,
+        incoming: Incoming<'_>,
+        outbox: &mut Vec<Outgoing>,
+    ) -> Result<(), String> {
+        match incoming {
+            Incoming::Catalog { r#ref, members_list } => {
+                let list = members_list.into_iter().map(known).collect::<Result<_, _>>()?;
+                self.catalogues.insert(r#ref, list);
+                return Ok(());
+            }
+            Incoming::Attach { salt, params } => {
+                let balancer = Balancer::new(settings(*params)?, salt).map_err(|e| e.to_string())?;
+                self.instances.insert(who, Instance::new(balancer));
+                return self.drive(now, who, None, outbox);
+            }
+            Incoming::Retire {} => {
+                // Nothing of the ended life may act any more, not even earlier in this batch.
+                self.instances.remove(&who);
+                outbox.clear();
+                return Ok(());
+            }
+            _ => {}
+        }
+        let instance = self.instances.get_mut(&who).ok_or("an event came before ATTACH")?;
+        let event = match incoming {
+            Incoming::Registry { form, r#ref, .. } => Some(Event::List(match form {
+                wire::Form::Error => ListUpdate::Failed,
+                form => {
+                    let number = r#ref.ok_or("REGISTRY names no catalogue")?;
+                    let list = self.catalogues.get(&number).ok_or_else(|| {
+                        format!("REGISTRY names catalogue {number}, which no CATALOG has set up")
+                    })?;
+                    let lines = instance.intern_list(list);
+                    match form {
+                        wire::Form::Partial => ListUpdate::Changes(lines),
+                        wire::Form::Complete => ListUpdate::Complete(lines),
+                        _ => ListUpdate::Saved(lines),
+                    }
+                }
+            })),
+            other => instance.translate(other)?,
+        };
+        match event {
+            Some(event) => self.drive(now, who, Some(event), outbox),
+            None => Ok(()),
+        }
+    }
+
+    /// Hands one event (or the start) to the balancer and puts its actions on the wire.
+    fn drive(
+        &mut self,
+        now: Time,
+        who: u32,
+        event: Option<Event>,
+        outbox: &mut Vec<Outgoing>,
+    ) -> Result<(), String> {
+        let Some(instance) = self.instances.get_mut(&who) else { return Ok(()) };
+        let actions = &mut self.actions;
+        actions.clear();
+        let run = catch_unwind(AssertUnwindSafe(|| match event {
+            Some(event) => instance.balancer.handle(now, event, actions),
+            None => instance.balancer.start(now, actions),
+        }));
+        if let Err(panic) = run {
+            let text = panic.downcast_ref::<String>().cloned();
+            let text = text.or_else(|| panic.downcast_ref::<&str>().map(|s| s.to_string()));
+            outbox.push(Outgoing::Bug { what: text.unwrap_or_else(|| "panic without a text".into()) });
+            return Ok(());
+        }
+        for action in self.actions.drain(..) {
+            outbox.push(instance.encode(action));
+        }
+        instance.forget_ended();
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(balancer: Balancer) -> Self {
+        Instance {
+            balancer,
+            servers: HashMap::new(),
+            server_names: Vec::new(),
+            tickets: HashMap::new(),
+            ticket_names: HashMap::new(),
+            next_request: 0,
+        }
+    }
+
+    /// Servers are numbered in the order in which this instance hears of them, so that its decisions do not
+    /// hang on what else the process hosts.
+    fn intern_list(&mut self, list: &[Known]) -> Vec<Listed> {
+        list.iter()
+            .map(|known| {
+                let next = ServerId(self.server_names.len() as u32);
+                let server = *self.servers.entry(known.name.clone()).or_insert(next);
+                if server == next {
+                    self.server_names.push(known.name.clone());
+                }
+                Listed { server, ..known.line.clone() }
+            })
+            .collect()
+    }
+
+    /// An event in the library's terms; `None` for news of requests that are long over.
+    fn translate(&mut self, incoming: Incoming<'_>) -> Result<Option<Event>, String> {
+        Ok(match incoming {
+            Incoming::Request { ticket, party, cls, affinity, estimate_ms, opts, expires_in_ms } => {
+                let id = RequestId(self.next_request);
+                self.next_request += 1;
+                let name: Rc<str> = Rc::from(&*ticket);
+                let entry = Ticket { id, out: 0, ended: false };
+                if self.tickets.insert(name.clone(), entry).is_some() {
+                    return Err(format!("REQUEST {ticket} came twice"));
+                }
+                self.ticket_names.insert(id, name);
+                let opts = opts.unwrap_or(0);
+                let hint = estimate_ms.filter(|ms| opts & 1 != 0 && ms.is_finite() && *ms > 0.0);
+                Some(Event::Request(Request {
+                    id,
+                    class: ClassId(cls),
+                    tenant: party.map(TenantId),
+                    key: affinity.map(|key| KeyId(fnv1a(&key))),
+                    cost_hint: hint.map(Span::from_ms),
+                    repeat: opts & 2 != 0,
+                    time_left: Span::from_ms(expires_in_ms),
+                }))
+            }
+            Incoming::FirstByte { ticket, attempt } => self
+                .tickets
+                .get(&*ticket)
+                .map(|t| Event::FirstByte { request: t.id, attempt: AttemptNo(attempt) }),
+            Incoming::Done { ticket, finished, time_taken_ms, ending, attempt, gauge } => {
+                self.tickets.get_mut(&*ticket).map(|t| {
+                    t.out = t.out.saturating_sub(1);
+                    t.ended |= finished;
+                    Event::Outcome {
+                        request: t.id,
+                        attempt: AttemptNo(attempt),
+                        outcome: outcome(ending),
+                        elapsed: Span::from_ms(time_taken_ms),
+                        report: gauge,
+                        closed: finished,
+                    }
+                })
+            }
+            Incoming::Aborted { ticket } => self.tickets.get_mut(&*ticket).map(|t| {
+                t.ended = true;
+                Event::ClientGone { request: t.id }
+            }),
+            Incoming::Elapsed { key_back } => Some(Event::Timer(TimerId(key_back))),
+            Incoming::Probed { backend, ending, time_taken_ms, gauge } => {
+                let server = *self
+                    .servers
+                    .get(&*backend)
+                    .ok_or_else(|| format!("PROBED names backend {backend}, which no list has named"))?;
+                let elapsed = Span::from_ms(time_taken_ms);
+                Some(Event::Probed { server, outcome: outcome(ending), elapsed, report: gauge })
+            }
+            Incoming::Mail { src_peer, raw } => {
+                Some(Event::PeerMessage { from: PeerId(src_peer), payload: unhex(&raw)? })
+            }
+            Incoming::Attach { .. }
+            | Incoming::Retire {}
+            | Incoming::Catalog { .. }
+            | Incoming::Registry { .. } => None,
+        })
+    }
+
+    fn ticket(&mut self, id: RequestId) -> Option<(String, &mut Ticket)> {
+        let name = self.ticket_names.get(&id)?;
+        Some((name.to_string(), self.tickets.get_mut(name)?))
+    }
+
+    fn encode(&mut self, action: Action) -> Outgoing {
+        let backend = |server: ServerId, names: &[Rc<str>]| names[server.0 as usize].to_string();
+        let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
+        match action {
+            Action::Send { request, server, timeout_at } => {
+                let backend = backend(server, &self.server_names);
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.out += 1;
+                Outgoing::Route { ticket, backend, until_ms: timeout_at.ms() }
+            }
+            Action::Cancel { request, attempt } => {
+                let Some((ticket, _)) = self.ticket(request) else { return gone() };
+                Outgoing::Abandon { ticket, attempt: attempt.0 }
+            }
+            Action::Refuse { request, retry_after } => {
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.ended = true;
+                Outgoing::OverloadReply { ticket, not_before_for_ms: retry_after.map(Span::ms) }
+            }
+            Action::Fail { request } => {
+                let Some((ticket, entry)) = self.ticket(request) else { return gone() };
+                entry.ended = true;
+                Outgoing::Abort { ticket }
+            }
+            Action::SetTimer { at, timer } => Outgoing::Timer { at_ms: at.ms(), key_back: timer.0 },
+            Action::Probe { server } => {
+                Outgoing::HealthCheck { backend: backend(server, &self.server_names) }
+            }
+            Action::CloseIdle { server } => {
+                Outgoing::CloseIdle { backend: backend(server, &self.server_names) }
+            }
+            Action::Tell { to, payload } => {
+                Outgoing::Announce { to: to.map_or(-1, |peer| i64::from(peer.0)), raw: hex(&payload) }
+            }
+            Action::Follow { active } => Outgoing::Follow { active },
+            Action::FetchList => Outgoing::Pull {},
+            Action::Log { text } => Outgoing::NoteDown { what: text },
+        }
+    }
+
+    /// Drops the names of requests that are answered and have nothing out.
+    fn forget_ended(&mut self) {
+        if self.tickets.len() < 2 * FORGET_FROM {
+            return;
+        }
+        let names = &mut self.ticket_names;
+        self.tickets.retain(|_, t| {
+            let keep = !t.ended || t.out > 0;
+            if !keep {
+                names.remove(&t.id);
+            }
+            keep
+        });
+    }
+}
+
+/// Names of ended requests are swept out once this many are held, so that a sweep costs little a request.
+const FORGET_FROM: usize = 512;
+
+fn known(entry: wire::Entry<'_>) -> Result<Known, String> {
+    let weight = entry.units.unwrap_or(1.0);
+    let started = entry.last_start_ms.filter(|ms| *ms > 0.0).map(Time::from_ms);
+    Ok(Known {
+        name: Rc::from(&*entry.backend),
+        line: Listed {
+            server: ServerId(0),
+            zone: ZoneId(entry.campus),
+            kind: KindId(entry.class_of_host),
+            cell: CellId(entry.cluster),
+            status: match entry.status {
+                wire::EntryStatus::Serving => Status::Serving,
+                wire::EntryStatus::Draining => Status::Draining,
+                wire::EntryStatus::Deleted => Status::Gone,
+            },
+            weight,
+            started,
+        },
+    })
+}
+
+fn outcome(ending: wire::Ending) -> Outcome {
+    match ending {
+        wire::Ending::Done => Outcome::Success,
+        wire::Ending::Err => Outcome::ServerError,
+        wire::Ending::Busy => Outcome::Rejected,
+        wire::Ending::Etimedout => Outcome::TimedOut,
+        wire::Ending::Econnrefused => Outcome::ConnectFailed,
+        wire::Ending::Econnreset => Outcome::ConnectionReset,
+        wire::Ending::Ecanceled => Outcome::Cancelled,
+        wire::Ending::Skipped => Outcome::NotSent,
+    }
+}
+
+/// The settings in the library's terms; what is absent keeps the library's default.
+fn settings(params: wire::Params) -> Result<Settings, String> {
+    let standard = Settings::default();
+    let span = |ms: Option<f64>, other: Span| ms.map_or(other, Span::from_ms);
+    let rules = params.rules;
+    let classes = params.classes.into_iter().map(class).collect();
+    let field = |name: &String| match name.as_str() {
+        "inflight" => ReportField::InFlight,
+        "queue" => ReportField::Queue,
+        "util" => ReportField::Utilisation,
+        "latency_ms" => ReportField::ServiceTime,
+        "qps" => ReportField::Rate,
+        "eps" => ReportField::Errors,
+        _ => ReportField::Other,
+    };
+    Ok(Settings {
+        balancers: params.balancers.unwrap_or(standard.balancers),
+        zone: ZoneId(params.zone),
+        classes,
+        tenants: params
+            .parties
+            .iter()
+            .map(|p| Tenant { fraction: p.fraction, allowance_per_s: p.allowance_per_s })
+            .collect(),
+        over_share_worth: params.over_share_worth.unwrap_or(standard.over_share_worth),
+        worth_by_work: params.worth_by == Some(wire::WorthBy::Work),
+        goal: Goal {
+            whole: params.goal.whole,
+            worst_window: params.goal.worst_window,
+            worst_class: params.goal.worst_class,
+            worst_tenant: params.goal.worst_tenant,
+        },
+        prices: Prices {
+            cross_zone: params.penalties.cross_zone,
+            probe: params.penalties.probe,
+            handshake: params.penalties.handshake,
+            connection: params.penalties.connection,
+            waste: params.penalties.waste,
+            late_fail: params.penalties.late_fail,
+        },
+        discovery: match params.discovery {
+            Some(wire::Discovery::OnRequest) => Discovery::OnRequest,
+            Some(wire::Discovery::Pushed) | None => Discovery::Pushed,
+        },
+        ask_within: span(rules.ask_within_ms, standard.ask_within),
+        report_source: match params.feedback.source {
+            wire::Source::Piggyback => ReportSource::Answers,
+            wire::Source::Pull => ReportSource::Probes,
+            wire::Source::Silent => ReportSource::None,
+        },
+        report_fields: params.feedback.fields.iter().map(field).collect(),
+        weights: match params.weights {
+            Some(wire::Weights::Nominal | wire::Weights::Rough) => Weights::Size,
+            Some(wire::Weights::Live) => Weights::Live,
+            Some(wire::Weights::Silent) | None => Weights::None,
+        },
+        warm_keys: params.family_info.warm_keys,
+        max_attempts: params.limits.max_attempts.unwrap_or(standard.max_attempts),
+        second_copies: params.limits.second_copies,
+        cancel: params.limits.cancel,
+        probes: params.limits.probes,
+        peers: params.limits.peers,
+        retry_after: params.limits.retry_after,
+        max_retry_after: Span::from_ms(params.limits.max_retry_after_ms),
+        drain_grace: span(rules.stop_sending_within_ms, standard.drain_grace),
+        cold_share: rules.cold_share.unwrap_or(standard.cold_share),
+        warm_after: span(rules.warm_after_ms, standard.warm_after),
+        overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
+        fall_after: span(rules.fall_ms, standard.fall_after),
+        period: span(params.period_ms, standard.period),
+    })
+}
+
+fn class(params: wire::ClassParams) -> Class {
+    let effect = match params.effect {
+        wire::Effect::Idempotent => Effect::Idempotent,
+        wire::Effect::AtMostOnce => Effect::AtMostOnce,
+        wire::Effect::Deduplicated => Effect::Deduplicated {
+            group: match params.group {
+                Some(wire::Group::All) => Group::All,
+                Some(wire::Group::Zone) => Group::Zone,
+                // Without a stated group the narrowest one is the safe reading.
+                Some(wire::Group::Cell) | None => Group::Cell,
+            },
+            window: Span::from_ms(params.dedup_window_ms),
+        },
+    };
+    Class {
+        effect,
+        aim: Span::from_ms(params.aim_ms),
+        aim_stretch: params.aim_stretch.unwrap_or(0.0),
+        deadline: Span::from_ms(params.deadline_ms),
+        worth: params.points,
+        late_worth: params.late_worth,
+        stream: params.stream,
+    }
+}
+
+/// Keys only need to be told apart; the hash is fixed so that equal keys are equal in every process.
+fn fnv1a(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Result<Vec<u8>, String> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+    match digits {
+        Some(digits) if digits.len() % 2 == 0 => Ok(digits.chunks(2).map(|p| p[0] << 4 | p[1]).collect()),
+        _ => Err(format!("MAIL holds {text:?}; an even number of hex digits was expected")),
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,907 @@
+//! Every decision of the balancer; its interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes
+//! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
+//! `outcome` learns from the answer and decides what follows, `end` gives the one final answer. `tick` looks
+//! after silent servers, held requests and the list.
+
+use crate::api::*;
+use std::collections::BTreeMap;
+
+/// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
+const REMEMBERED: usize = 1;
+const DRAWS: usize = 3;
+/// Fresh draws of a light balancer, each of which may cost a probe.
+const DRAWS_LIGHT: usize = 2;
+/// Tries for each fresh draw to hit a server that is open; after that the whole list is gone through.
+const DRAW_TRIES: usize = 8;
+/// A load report or probe speaks for a server this long; a candidate with none is probed by a light balancer.
+const KNOWN: Span = Span(100_000);
+/// The share of its aim that a request may wait for the probes of its candidates.
+const LOOK: f64 = 0.08;
+/// Load that a probe still out stands for when the look is over, and one that failed or was turned away.
+const PROBE_OUT: f64 = 2.0;
+const PROBE_FAILED: f64 = 8.0;
+/// Looks that find no server with room before a request is given up.
+const LOOKS_MOST: u32 = 2;
+/// Weight of a new answer in a server's pace: about the last eight answers count.
+const PACE_GAIN: f64 = 0.12;
+/// Weight of a new answer in its class's pace; a slower one counts a quarter.
+const CLASS_GAIN: f64 = 0.04;
+/// Failures in a row, with no success between, that make a server suspect.
+const FAILURES: u32 = 2;
+/// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
+/// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
+const OVERDUE: f64 = 4.0;
+const OVERDUE_LEAST: f64 = 0.6;
+const OVERDUE_ALONE: f64 = 1.0;
+/// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
+const SUSPECT_SHARE: f64 = 0.75;
+/// First and longest pause between two trials of a suspect server.
+const TRIAL_FIRST: Span = Span(250_000);
+const TRIAL_MOST: Span = Span(4_000_000);
+/// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
+const TARGET: f64 = 0.25;
+/// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
+/// as much as one request more at zero, so that the price alone does not fill a zone.
+const AWAY: f64 = 0.25;
+const AWAY_MOST: f64 = 1.8;
+/// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
+const WARM: f64 = 0.7;
+/// Keys remembered; past that all are forgotten, which costs each of them one cold run.
+const KEYS_MOST: usize = 10_000;
+/// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
+const ALIKE: f64 = 0.25;
+/// What an answer past its aim leaves of a server's limit.
+const LATE_CUT: f64 = 0.85;
+/// A limit in full use grows by this much in the time that it takes to use it once.
+const GROWTH: f64 = 0.1;
+/// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
+const SHRINK: f64 = 0.02;
+/// Own requests in flight that a server is first thought to bear, and the most it is ever given.
+const LIMIT_FIRST: f64 = 2.0;
+const LIMIT_MOST: f64 = 1000.0;
+/// Each request earns this much of a further attempt, saved up to the burst.
+const RETRY_EARN: f64 = 0.1;
+const RETRY_BURST: f64 = 10.0;
+/// How often the balancer looks around when it holds requests, and when it does not.
+const TICK_BUSY: Span = Span(10_000);
+const TICK_IDLE: Span = Span(50_000);
+/// Votes that a class's usual wait can gather; a new habit of the clients is believed after as many.
+const VOTES_MOST: u32 = 50;
+/// A held request must have this multiple of its class's present answer time left, or this share of its aim.
+const WAIT_MARGIN: f64 = 2.0;
+const WAIT_MOST: f64 = 0.7;
+/// Traffic is counted over about this many milliseconds.
+const COUNT_MS: f64 = 3000.0;
+/// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
+const SHARE_SLACK: f64 = 1.4;
+/// Longest local queue, in requests.
+const HELD_MOST: usize = 500;
+/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
+const ASK_AGAIN: Span = Span(200_000);
+
+const TICK: TimerId = TimerId(0);
+const LOOKED: TimerId = TimerId(1);
+
+/// Where a request may still go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    Nowhere,
+    Anywhere,
+    Zone(ZoneId),
+    Cell(CellId),
+}
+
+/// What may still be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lawful {
+    send: Reach,
+    refuse: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    server: usize,
+    zone: ZoneId,
+    cell: CellId,
+    sent: Time,
+    fate: Fate,
+}
+
+/// The one record of an accepted request; it goes when the request has its final answer.
+struct Live {
+    request: Request,
+    deadline: Time,
+    /// After this an answer is worth nothing more, or less.
+    wanted_by: Time,
+    attempts: Vec<Attempt>,
+    bound: bool,
+    /// Its tenant had its share already; worth little if that is so.
+    over_share: bool,
+    /// How often candidates were drawn for it.
+    picks: u32,
+}
+
+/// A request whose candidates are being probed, and how long it waits for them.
+struct Look {
+    request: RequestId,
+    candidates: Vec<usize>,
+    until: Time,
+}
+
+/// An attempt that has not ended; it outlives its request if that ends first.
+struct Flight {
+    server: usize,
+    class: usize,
+    sent: Time,
+    trial: bool,
+}
+
+struct Suspicion {
+    next_trial: Time,
+    pause: Span,
+    on_trial: bool,
+}
+
+struct Server {
+    listed: Listed,
+    in_flight: u32,
+    /// Answer time over its class's usual, leaning to the quick ones: how slow the machine itself is.
+    stretch: f64,
+    /// Smoothed answer time as a share of the class's aim.
+    pace: f64,
+    failures: u32,
+    last_answer: Time,
+    /// Own requests that it may hold.
+    limit: f64,
+    suspicion: Option<Suspicion>,
+    /// Load by the last report or probe, when that came, and sends since.
+    reported: f64,
+    reported_at: Option<Time>,
+    sent_since: u32,
+    /// When the probe that is out was sent.
+    probed_at: Option<Time>,
+}
+
+impl Server {
+    fn new(listed: Listed, now: Time) -> Self {
+        Server {
+            listed,
+            in_flight: 0,
+            stretch: 1.0,
+            pace: 0.0,
+            failures: 0,
+            last_answer: now,
+            limit: LIMIT_FIRST,
+            suspicion: None,
+            reported: 0.0,
+            reported_at: None,
+            sent_since: 0,
+            probed_at: None,
+        }
+    }
+}
+
+/// The decisions of one client process about where, when and how often its requests are sent.
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    servers: Vec<Server>,
+    index: BTreeMap<ServerId, usize>,
+    /// Those that the list says are serving.
+    serving: Vec<usize>,
+    live: BTreeMap<RequestId, Live>,
+    flights: BTreeMap<(RequestId, u32), Flight>,
+    /// Newest first within each rank.
+    held: Vec<RequestId>,
+    looking: Vec<Look>,
+    memory: Vec<usize>,
+    /// The server that each key was last sent to, where servers do known keys for less.
+    warm: BTreeMap<KeyId, usize>,
+    /// Answer time of a class as a share of its aim, over all servers, leaning to the quick ones, so that a
+    /// crowd does not pass for the usual state.
+    class_pace: Vec<f64>,
+    /// The wait that most requests of a class come with, that of a first try, and the votes for it.
+    usual_wait: Vec<(Span, u32)>,
+    /// Traffic of the last seconds by tenant.
+    tenant_asked: Vec<f64>,
+    counted_at: Time,
+    retries: f64,
+    /// Least time that a probe has taken, by zone: what is over that, it waited.
+    round_trip: BTreeMap<ZoneId, Span>,
+    ask_pause: Span,
+    ask_at: Option<Time>,
+    tick_at: Time,
+}
+
+impl Balancer {
+    /// A balancer for these settings; equal seeds and events give equal actions.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let classes = settings.classes.len();
+        let class_pace = vec![0.2; classes];
+        let usual_wait = vec![(Span::ZERO, 0); classes];
+        Ok(Balancer {
+            rng: fastrand::Rng::with_seed(seed),
+            servers: Vec::new(),
+            index: BTreeMap::new(),
+            serving: Vec::new(),
+            live: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            held: Vec::new(),
+            looking: Vec::new(),
+            memory: Vec::new(),
+            warm: BTreeMap::new(),
+            class_pace,
+            usual_wait,
+            tenant_asked: vec![0.0; settings.tenants.len()],
+            counted_at: Time(0),
+            retries: RETRY_BURST,
+            round_trip: BTreeMap::new(),
+            ask_pause: ASK_AGAIN,
+            ask_at: None,
+            tick_at: Time(0),
+            settings,
+        })
+    }
+
+    /// To be called once, before the first event.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.settings.discovery == Discovery::OnRequest {
+            out.push(Action::Follow { active: true });
+        }
+        self.set_tick(now, TICK_IDLE, out);
+    }
+
+    /// Takes in what has happened by `now` and appends what is to be done about it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.arrive(now, request, out),
+            Event::FirstByte { request, attempt } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.bound = (attempt.0 as usize) < live.attempts.len();
+                }
+            }
+            Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
+                self.outcome(now, (request, attempt.0), outcome, elapsed, report.as_deref(), closed, out);
+            }
+            Event::ClientGone { request } => {
+                self.live.remove(&request);
+            }
+            Event::Timer(TICK) => self.tick(now, out),
+            Event::Timer(LOOKED) => self.settle(now, |look| look.until <= now, out),
+            Event::Timer(_) | Event::PeerMessage { .. } => {}
+            Event::Probed { server, outcome, elapsed, report } => {
+                let Some(&s) = self.index.get(&server) else { return };
+                if let Some(report) = report {
+                    self.read_report(now, s, &report);
+                }
+                self.probed(now, s, outcome != Outcome::Success, elapsed, out);
+            }
+            Event::List(update) => self.list(now, update, out),
+        }
+    }
+
+    // ---- a request comes in -------------------------------------------------------------------------
+
+    fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        let Some(class) = self.settings.classes.get(request.class.0) else {
+            out.push(Action::Refuse { request: id, retry_after: None });
+            return;
+        };
+        if self.live.contains_key(&id) {
+            return;
+        }
+        // First tries of a class wait alike; another wait is what earlier tries have left of the deadline.
+        let period = self.settings.period;
+        let (usual, votes) = &mut self.usual_wait[request.class.0];
+        let near = request.time_left.less(*usual) <= period && usual.less(request.time_left) <= period;
+        let alike = near || *votes == 0;
+        match *votes {
+            0 => (*usual, *votes) = (request.time_left, 1),
+            _ if alike => *votes = (*votes + 1).min(VOTES_MOST),
+            _ => *votes -= 1,
+        }
+        let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
+        let deadline = now + request.time_left;
+        let wanted_by = (now + class.aim.less(spent)).min(deadline);
+        self.count(now, &request);
+        let over_share = self.over_share(&request);
+        let live =
+            Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share, picks: 0 };
+        let hopeless = self.hopeless(now, &live);
+        self.live.insert(id, live);
+        self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
+        if hopeless {
+            self.end(now, id, out);
+        } else if !self.place(now, id, out) {
+            self.hold(now, id, out);
+        }
+    }
+
+    /// Keeps the traffic of the last seconds by tenant.
+    fn count(&mut self, now: Time, request: &Request) {
+        let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
+        self.counted_at = now;
+        self.tenant_asked.iter_mut().for_each(|n| *n *= keep);
+        if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
+            *n += 1.0;
+        }
+    }
+
+    /// Of a tenant that takes more than its fraction of this balancer's traffic, the excess is over share.
+    /// No balancer sees the whole; its own traffic is the sample that it has.
+    fn over_share(&mut self, request: &Request) -> bool {
+        let Some(tenant) = request.tenant.filter(|t| t.0 < self.settings.tenants.len()) else { return false };
+        let all: f64 = self.tenant_asked.iter().sum();
+        let fair = SHARE_SLACK * self.settings.tenants[tenant.0].fraction * all;
+        self.settings.over_share_worth < 1.0 && self.rng.f64() * self.tenant_asked[tenant.0] > fair.max(1.0)
+    }
+
+    /// Sent now, it would not be answered while that is worth something.
+    fn hopeless(&self, now: Time, live: &Live) -> bool {
+        let c = &self.settings.classes[live.request.class.0];
+        let soon = c.aim * (0.7 * self.class_pace[live.request.class.0]);
+        now + soon >= if c.late_worth > 0.0 { live.deadline } else { live.wanted_by }
+    }
+
+    /// Keeps a request for later, or ends it if that is hopeless.
+    fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        if self.held.len() >= HELD_MOST {
+            self.end(now, id, out);
+            return;
+        }
+        self.held.insert(0, id);
+        // A tick that is due is never put off: requests held at each tick would starve it and lose requests.
+        if self.tick_at > now + TICK_BUSY {
+            self.set_tick(now, TICK_BUSY, out);
+        }
+    }
+
+    /// What the rules still allow; the whole of "no effect happens twice" is here.
+    fn lawful(&self, live: &Live, now: Time) -> Lawful {
+        let class = &self.settings.classes[live.request.class.0];
+        let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
+        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        let full = live.attempts.len() >= self.settings.max_attempts as usize;
+        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let send = match (first, class.effect) {
+            _ if shut => Reach::Nowhere,
+            (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
+            (Some(_), Effect::AtMostOnce) => Reach::Nowhere,
+            (Some(first), Effect::Deduplicated { window, .. }) if now > first.sent + window => Reach::Nowhere,
+            (Some(first), Effect::Deduplicated { group, .. }) => match group {
+                Group::All => Reach::Anywhere,
+                Group::Zone => Reach::Zone(first.zone),
+                Group::Cell => Reach::Cell(first.cell),
+            },
+        };
+        let refuse = match (first, class.effect) {
+            (None, _) | (_, Effect::Idempotent) => true,
+            (Some(_), Effect::AtMostOnce) => false,
+            (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
+        };
+        Lawful { send, refuse: refuse && !live.bound }
+    }
+
+    // ---- the pick -----------------------------------------------------------------------------------
+
+    /// Draws candidates for a request and sends it to the lightest, at once or after a look at them; false if
+    /// no server is open to it.
+    fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
+        if !self.live.contains_key(&id) {
+            return true;
+        }
+        let candidates = self.candidates(now, id);
+        self.look(now, id, &candidates, out) || self.choose(now, id, &candidates, out)
+    }
+
+    /// Has the candidates of a request probed, if it can wait for that and their load is unknown. A balancer
+    /// that is one of many has hardly a request out: its counts are zero nearly everywhere, and all balancers
+    /// together would place their requests blindly. Where balancers are few, their counts do.
+    fn look(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
+        let live = &self.live[&id];
+        let until = now + self.settings.classes[live.request.class.0].aim * LOOK;
+        if !self.is_light() || candidates.is_empty() || until >= live.deadline {
+            return false;
+        }
+        for &c in candidates {
+            if !self.is_known(now, c) && self.servers[c].probed_at.is_none() {
+                self.servers[c].probed_at = Some(now);
+                out.push(Action::Probe { server: self.servers[c].listed.server });
+            }
+        }
+        let waits = candidates.iter().any(|&c| self.servers[c].probed_at.is_some());
+        if waits {
+            self.looking.push(Look { request: id, candidates: candidates.to_vec(), until });
+            out.push(Action::SetTimer { at: until, timer: LOOKED });
+        }
+        waits
+    }
+
+    /// Sends the requests whose look is over to the lightest of their candidates, by what is known now. One
+    /// that finds no room twice is given up: servers beyond what they can do in time serve nobody.
+    fn settle(&mut self, now: Time, over: impl Fn(&Look) -> bool, out: &mut Vec<Action>) {
+        let (over, looking): (Vec<_>, Vec<_>) = std::mem::take(&mut self.looking).into_iter().partition(over);
+        self.looking = looking;
+        for Look { request, mut candidates, .. } in over {
+            let Some(live) = self.live.get(&request) else { continue };
+            let last = live.picks >= LOOKS_MOST;
+            // One whose probe is still out is busy or gone: it steps back if another has answered.
+            let heard = candidates.iter().any(|&c| self.servers[c].probed_at.is_none());
+            let told = |c: usize| !heard || self.servers[c].probed_at.is_none();
+            candidates.retain(|&c| told(c) && self.open_to(now, request, c));
+            match self.choose(now, request, &candidates, out) {
+                true => {}
+                false if last => self.end(now, request, out),
+                false => self.hold(now, request, out),
+            }
+        }
+    }
+
+    /// Sends a request to the lightest of these; false if there is none.
+    fn choose(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
+        let live = &self.live[&id];
+        let (class, key) = (live.request.class.0, live.request.key.filter(|_| self.settings.warm_keys));
+        let warm = key.and_then(|k| self.warm.get(&k)).copied();
+        let heavy = (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt();
+        let Some(server) = self.lightest(now, candidates, warm, heavy) else { return false };
+        self.remember(server, key);
+        self.send(now, id, class, server, out);
+        true
+    }
+
+    /// One of many: this balancer's own counts tell next to nothing of what a server bears.
+    fn is_light(&self) -> bool {
+        self.settings.probes && self.settings.balancers as usize > 2 * self.serving.len()
+    }
+
+    fn is_known(&self, now: Time, server: usize) -> bool {
+        self.servers[server].reported_at.is_some_and(|at| now.since(at) < KNOWN)
+    }
+
+    /// The load at which one request more would be answered past its aim: each in line adds about the usual
+    /// answer time of a quiet server.
+    fn most_told(&self) -> f64 {
+        let most = |c: usize| self.settings.classes[c].aim.ms() / self.usual(c);
+        (0..self.settings.classes.len()).map(most).fold(f64::INFINITY, f64::min).max(1.0)
+    }
+
+    /// What a probe says of a server's load: its report, and the time it had to wait there.
+    fn probed(&mut self, now: Time, server: usize, failed: bool, elapsed: Span, out: &mut Vec<Action>) {
+        let usual = (0..self.settings.classes.len()).map(|c| self.usual(c)).fold(f64::INFINITY, f64::min);
+        let s = &mut self.servers[server];
+        let least = self.round_trip.entry(s.listed.zone).or_insert(elapsed);
+        *least = elapsed.min(*least);
+        let load = elapsed.less(*least).ms() / usual + if failed { PROBE_FAILED } else { 0.0 };
+        let told = if s.reported_at == Some(now) { s.reported } else { 0.0 };
+        (s.reported, s.reported_at, s.sent_since, s.probed_at) = (load.max(told), Some(now), 0, None);
+        let idle = s.reported < 0.5;
+        let out_still = |&c: &usize| self.servers[c].probed_at.is_some();
+        let over =
+            |l: &&Look| l.candidates.contains(&server) && (idle || !l.candidates.iter().any(out_still));
+        let done: Vec<RequestId> = self.looking.iter().filter(over).map(|l| l.request).collect();
+        self.settle(now, |look| done.contains(&look.request), out);
+    }
+
+    /// The remembered servers that are open to a request, and fresh uniform draws from all that are. One that
+    /// it has tried comes in only if there is no other.
+    fn candidates(&mut self, now: Time, id: RequestId) -> Vec<usize> {
+        let draws = if self.is_light() { DRAWS_LIGHT } else { DRAWS };
+        let Some(live) = self.live.get_mut(&id) else { return Vec::new() };
+        live.picks += 1;
+        let first = live.picks == 1;
+        let tries: Vec<usize> = live.attempts.iter().map(|a| a.server).collect();
+        let warm = live.request.key.and_then(|k| self.warm.get(&k));
+        let known = self.memory.iter().chain(warm).copied();
+        let known =
+            known.filter(|i| !tries.contains(i) && !self.is_cold(now, *i) && self.open_to(now, id, *i));
+        let mut candidates: Vec<usize> = known.collect();
+        let all = candidates.len() + draws;
+        let all_cold = self.serving.iter().all(|&i| self.is_cold(now, i));
+        for _ in 0..draws {
+            for turn in 0..DRAW_TRIES.min(self.serving.len()) {
+                let i = self.serving[self.rng.usize(0..self.serving.len())];
+                // All balancers together must not push a cold server over: even if it wins every pick it is
+                // drawn for, it gets its warmth's part of a warm one's load. What waits has no second roll.
+                let warmth = self.warmth(&self.servers[i], now);
+                let chance = warmth / draws as f64;
+                let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
+                if !shut && !tries.contains(&i) && self.open_to(now, id, i) {
+                    candidates.push(i);
+                    break;
+                }
+            }
+        }
+        if candidates.len() < all {
+            // Few are open: draw from a list of them.
+            let open = self.serving.iter().copied().filter(|&i| self.open_to(now, id, i));
+            let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| tries.contains(i));
+            let mut pool = if fresh.is_empty() && candidates.is_empty() { again } else { fresh };
+            pool.retain(|&i| all_cold || !self.is_cold(now, i));
+            for _ in 0..(all - candidates.len()).min(pool.len()) {
+                candidates.push(pool[self.rng.usize(0..pool.len())]);
+            }
+        }
+        // Cold ones do not stand in for full warm ones: they would get all that those cannot take.
+        if !all_cold && candidates.iter().all(|&i| self.is_cold(now, i)) {
+            candidates.clear();
+        }
+        candidates
+    }
+
+    /// Whether a server may be sent a request now: by rules, list, room and suspicion.
+    fn open_to(&self, now: Time, id: RequestId, server: usize) -> bool {
+        let (s, live) = (&self.servers[server], &self.live[&id]);
+        let lawful = match self.lawful(live, now).send {
+            Reach::Nowhere => false,
+            Reach::Anywhere => true,
+            Reach::Zone(zone) => s.listed.zone == zone,
+            Reach::Cell(cell) => s.listed.cell == cell,
+        };
+        lawful
+            && s.listed.status == Status::Serving
+            && self.has_room(now, server)
+            && s.suspicion.as_ref().is_none_or(|q| !q.on_trial && now >= q.next_trial)
+    }
+
+    /// Room by the reported load or, where balancers are few, by the learned limit.
+    fn has_room(&self, now: Time, server: usize) -> bool {
+        let s = &self.servers[server];
+        if self.is_light() {
+            return !self.is_known(now, server) || s.reported + f64::from(s.sent_since) < self.most_told();
+        }
+        f64::from(s.in_flight) < (s.limit * self.warmth(s, now)).max(1.0)
+    }
+
+    /// The candidate with the least load: own requests in flight or, if light, what was told of it
+    /// if that is more; scaled by a slow machine, a priced crossing, a key unknown there. A coin is last.
+    fn lightest(
+        &mut self,
+        now: Time,
+        candidates: &[usize],
+        warm: Option<usize>,
+        heavy: f64,
+    ) -> Option<usize> {
+        let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
+        let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
+        let key = |c: usize, coin: u32| {
+            let s = &self.servers[c];
+            let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
+            let gain = if warm == Some(c) { WARM } else { 1.0 };
+            // A suspect drawn for its trial goes first: by its own record it would never be tried.
+            let known = self.is_light() && self.is_known(now, c) && s.probed_at.is_none();
+            let told = if known { s.reported + f64::from(s.sent_since) } else { 0.0 };
+            let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
+            let load = f64::from(s.in_flight).max(told).max(out);
+            let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
+            let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
+            ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
+        };
+        candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
+    }
+
+    fn remember(&mut self, server: usize, key: Option<KeyId>) {
+        if let Some(key) = key {
+            if self.warm.len() >= KEYS_MOST {
+                self.warm.clear();
+            }
+            self.warm.insert(key, server);
+        }
+        self.memory.retain(|&m| m != server);
+        self.memory.insert(0, server);
+        self.memory.truncate(REMEMBERED);
+    }
+
+    fn send(&mut self, now: Time, id: RequestId, class: usize, server: usize, out: &mut Vec<Action>) {
+        let in_time = self.is_light() && self.settings.classes[class].late_worth == 0.0;
+        let Some(live) = self.live.get_mut(&id) else { return };
+        // Where a late answer is worth nothing, what waits past its aim only holds up the server's queue. Few
+        // balancers keep the deadline: their counts would lose sight of work that goes on.
+        let timeout_at = if in_time { live.wanted_by.max(now) } else { live.deadline };
+        let s = &mut self.servers[server];
+        let attempt = live.attempts.len() as u32;
+        let (zone, cell) = (s.listed.zone, s.listed.cell);
+        live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
+        s.in_flight += 1;
+        s.sent_since += 1;
+        let trial = match &mut s.suspicion {
+            Some(q) => {
+                q.on_trial = true;
+                true
+            }
+            None => false,
+        };
+        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial });
+        out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
+    }
+
+    // ---- cold servers -------------------------------------------------------------------------------
+
+    /// The share of its capacity that a server surely has.
+    fn warmth(&self, s: &Server, now: Time) -> f64 {
+        let Some(started) = s.listed.started else { return 1.0 };
+        let (age, warm) = (now.since(started).ms(), self.settings.warm_after.ms());
+        if age >= warm {
+            return 1.0;
+        }
+        let cold = self.settings.cold_share.min(1.0);
+        cold + (1.0 - cold) * age / warm
+    }
+
+    fn is_cold(&self, now: Time, server: usize) -> bool {
+        self.warmth(&self.servers[server], now) < 1.0
+    }
+
+    /// The usual answer time of a class in milliseconds.
+    fn usual(&self, class: usize) -> f64 {
+        (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
+    }
+
+    /// A guess at a request's work: the hint, else the usual answer time of its class.
+    fn work(&self, live: &Live) -> f64 {
+        live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
+    }
+
+    // ---- what follows an outcome --------------------------------------------------------------------
+
+    #[allow(clippy::too_many_arguments)]
+    fn outcome(
+        &mut self,
+        now: Time,
+        key: (RequestId, u32),
+        outcome: Outcome,
+        elapsed: Span,
+        report: Option<&Report>,
+        closed: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(flight) = self.flights.remove(&key) else { return };
+        self.servers[flight.server].in_flight -= 1;
+        if let Some(report) = report {
+            self.read_report(now, flight.server, report);
+        }
+        self.learn(now, &flight, outcome, elapsed, out);
+        let id = key.0;
+        if closed {
+            self.live.remove(&id);
+        } else if let Some(live) = self.live.get_mut(&id) {
+            let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+            live.attempts[key.1 as usize].fate = fate;
+            self.follow_up(now, id, out);
+        }
+        self.pump(now, out);
+    }
+
+    /// The request still owes its answer after an attempt has failed.
+    fn follow_up(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let live = &self.live[&id];
+        if live.attempts.iter().any(|a| a.fate == Fate::Out) {
+            return;
+        }
+        let useful = !self.hopeless(now, live);
+        // What was turned away pays too, or it would go round a fleet of full servers.
+        if self.lawful(live, now).send != Reach::Nowhere && useful && self.retries >= 1.0 {
+            self.retries -= 1.0;
+            if !self.place(now, id, out) {
+                self.hold(now, id, out);
+            }
+        } else {
+            self.end(now, id, out);
+        }
+    }
+
+    /// The final answer from here: a refusal if that is true to the client, else a failure.
+    fn end(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+        let Some(live) = self.live.remove(&id) else { return };
+        if self.lawful(&live, now).refuse {
+            let advice = self.settings.classes[live.request.class.0].aim.min(self.settings.max_retry_after);
+            let retry_after = self.settings.retry_after.then_some(advice);
+            out.push(Action::Refuse { request: id, retry_after });
+        } else {
+            out.push(Action::Fail { request: id });
+        }
+    }
+
+    /// Sends what is held and can go, newest first, and ends what can no longer be answered in time: first
+    /// come first served would let every request wait until it is nearly too late, and then be late.
+    fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.held.is_empty() {
+            return;
+        }
+        let mut held = std::mem::take(&mut self.held);
+        let cheap = |l: &Live| {
+            let (c, by_work) = (l.request.class.0, self.settings.worth_by_work);
+            (-1e6 * self.settings.classes[c].worth / if by_work { 1.0 } else { self.usual(c) }) as i64
+        };
+        held.sort_by_cached_key(|id| self.live.get(id).map(|l| (l.over_share, cheap(l))));
+        held.retain(|&id| {
+            let Some(live) = self.live.get(&id) else { return false };
+            let class = live.request.class.0;
+            let margin = (WAIT_MARGIN * self.class_pace[class]).min(WAIT_MOST);
+            if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
+                self.end(now, id, out);
+                return false;
+            }
+            !self.place(now, id, out)
+        });
+        self.held = held;
+    }
+
+    // ---- what is learned of servers -----------------------------------------------------------------
+
+    fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
+        let aim = self.settings.classes[flight.class].aim.ms();
+        let s = &mut self.servers[flight.server];
+        let used = match outcome {
+            // Late is late: one costly request must not weigh like ten.
+            Outcome::Success => (elapsed.ms() / aim).min(1.0),
+            // Called back is not stopped: the work may still stand in the server's queue.
+            Outcome::TimedOut | Outcome::Rejected | Outcome::Cancelled => 1.0,
+            _ => 0.0,
+        };
+        match outcome {
+            Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut => {}
+            Outcome::Success => {
+                s.failures = 0;
+                s.last_answer = now;
+                lean(&mut self.class_pace[flight.class], used);
+                lean(&mut s.stretch, (used / self.class_pace[flight.class].max(0.001)).clamp(0.05, 8.0));
+            }
+            // A full server is no sick one: it is only sent less.
+            Outcome::Rejected => s.last_answer = now,
+            Outcome::ConnectFailed => s.failures += 1,
+            _ => (s.failures, s.last_answer) = (s.failures + 1, now),
+        }
+        if used > 0.0 {
+            s.pace = if s.pace == 0.0 { used } else { s.pace + PACE_GAIN * (used - s.pace) };
+            // Slower than the pace forgets, or its lag would drive the limit down too far; an answer past its
+            // aim or a full queue is sure evidence and counts at once.
+            let over = (s.pace / TARGET - 1.0).min(2.0);
+            let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
+            s.limit = (s.limit * factor).max(1.0);
+            if over <= 0.0 && used < 1.0 && f64::from(s.in_flight) + 1.0 >= (0.7 * s.limit).floor() {
+                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
+            }
+        }
+        if flight.trial {
+            if outcome == Outcome::Success && used < 1.0 {
+                s.suspicion = None;
+                (s.pace, s.failures, s.stretch) = (used, 0, 1.0);
+            } else if let Some(q) = &mut s.suspicion {
+                q.on_trial = false;
+                q.pause = (q.pause * 2.0).min(TRIAL_MOST);
+                q.next_trial = now + q.pause;
+            }
+            return;
+        }
+        if s.failures >= FAILURES {
+            self.suspect(now, flight.server, "failing", out);
+        }
+    }
+
+    /// Takes a server out of the draw and out of memory, unless too many are out already.
+    fn suspect(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
+        let gone = self.serving.iter().filter(|&&i| self.servers[i].suspicion.is_some()).count();
+        let s = &mut self.servers[server];
+        if s.suspicion.is_some() || (gone + 1) as f64 > SUSPECT_SHARE * self.serving.len() as f64 {
+            return;
+        }
+        s.suspicion = Some(Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST, on_trial: false });
+        self.memory.retain(|&m| m != server);
+        out.push(Action::Log { text: format!("server {} {why}: suspect", s.listed.server.0) });
+    }
+
+    fn read_report(&mut self, now: Time, server: usize, report: &Report) {
+        let s = &mut self.servers[server];
+        for (field, value) in self.settings.report_fields.iter().zip(report) {
+            if matches!(field, ReportField::InFlight | ReportField::Queue) && value.is_finite() {
+                s.reported = value.clamp(0.0, 1e6);
+                s.reported_at = Some(now);
+                s.sent_since = 0;
+            }
+        }
+    }
+
+    // ---- the list and the clock ---------------------------------------------------------------------
+
+    fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
+        let (lines, complete) = match update {
+            ListUpdate::Failed => {
+                let jitter = 0.5 + self.rng.f64();
+                self.ask_at = Some(now + self.ask_pause * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                return;
+            }
+            ListUpdate::Changes(lines) => (lines, false),
+            ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
+        };
+        self.ask_pause = ASK_AGAIN;
+        if complete {
+            for s in &mut self.servers {
+                s.listed.status = Status::Gone;
+            }
+        }
+        for line in lines {
+            let server = line.server;
+            match self.index.get(&server) {
+                Some(&i) => {
+                    let s = &mut self.servers[i];
+                    if line.started.is_some() && line.started != s.listed.started {
+                        // A new process: what was learned of the old one says nothing, and it is cold.
+                        let (in_flight, last_answer) = (s.in_flight, s.last_answer);
+                        *s = Server { in_flight, last_answer, ..Server::new(line, now) };
+                    } else {
+                        s.listed = line;
+                    }
+                }
+                None => {
+                    self.index.insert(server, self.servers.len());
+                    self.servers.push(Server::new(line, now));
+                }
+            }
+        }
+        let servers = &self.servers;
+        self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
+        self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.pump(now, out);
+    }
+
+    fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
+        self.tick_at = now + after;
+        out.push(Action::SetTimer { at: self.tick_at, timer: TICK });
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.tick_at {
+            return;
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = None;
+            out.push(Action::Follow { active: true });
+        }
+        self.find_silent(now, out);
+        self.pump(now, out);
+        self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
+    }
+
+    /// A server is silent if an attempt there is overdue and nothing has come back since it was sent. What
+    /// may be repeated and can still be answered in time is called back from it and sent elsewhere.
+    fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
+            let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
+            let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
+            let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
+            let pace = self.class_pace[flight.class].max(work / aim.ms());
+            let wait = aim * (OVERDUE * pace).max(least);
+            let quiet = server.last_answer < flight.sent;
+            (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
+        };
+        let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
+        for &((id, attempt), server) in &silent {
+            self.suspect(now, server, "silent", out);
+            let Some(live) = self.live.get(&id) else { continue };
+            let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
+            let last = attempt as usize + 1 == live.attempts.len();
+            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
+            if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
+                out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
+            }
+        }
+    }
+}
+
+/// Moves a figure towards a new one, a quarter as fast if that is slower: a crowd must not pass for usual.
+fn lean(figure: &mut f64, new: f64) {
+    let gain = if new < *figure { CLASS_GAIN } else { CLASS_GAIN / 4.0 };
+    *figure += gain * (new - *figure);
+}
--- /dev/null
+++ b/tests/module_size.rs
@@ -0,0 +1,17 @@
+//! Guards the limits of the decision module: it is read aloud line by line after an outage.
+use std::path::Path;
+
+const LINES_MOST: usize = 850;
+const WIDTH_MOST: usize = 110;
+
+#[test]
+fn the_decision_module_stays_readable_aloud() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/decide.rs");
+    let text = std::fs::read_to_string(path).expect("the decision module is where the README says");
+    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+    assert!(lines <= LINES_MOST, "{lines} lines that are not blank; at most {LINES_MOST}");
+    for (number, line) in text.lines().enumerate() {
+        let width = line.chars().count();
+        assert!(width <= WIDTH_MOST, "line {} is {width} characters wide; at most {WIDTH_MOST}", number + 1);
+    }
+}
