--- /dev/null
+++ b/agent/src/main.rs
@@ -0,0 +1,105 @@
+//! The real agent: the decisions of `ryelead` on real sockets. Started with `LB_CONFIG` in the environment.
+
+mod backend;
+mod config;
+mod discovery;
+mod driver;
+mod server;
+mod wire;
+
+use backend::Backends;
+use config::Config;
+use discovery::Commands;
+use driver::{log, Driver};
+use ryelead::{Discovery, ReportSource, Span};
+use server::{Catalogue, Server};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+/// After SIGTERM new connections go on coming for a while, and are served.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+/// Once nothing is owed, connections that have not been used yet are given this long.
+const LINGER: Duration = Duration::from_millis(400);
+/// The end, counted from SIGTERM over the longest deadline.
+const STOP_SLACK: Duration = Duration::from_millis(300);
+
+fn main() -> ExitCode {
+    let config = match Config::from_env() {
+        Ok(config) => config,
+        Err(fault) => {
+            log(&fault);
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let end = match runtime {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run(config)),
+        Err(e) => Err(format!("cannot start the runtime: {e}")),
+    };
+    match end {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            log(&fault);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn length(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+    let file = &config.settings;
+    let settings = file.settings();
+    let classes = file.class_names().into_iter().zip(settings.classes.iter().map(|c| c.effect)).collect();
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let pushed = settings.discovery == Discovery::Pushed;
+    let backends = Backends::new(
+        config.backend_connections,
+        length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
+        length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
+        file.report_names().to_vec(),
+        settings.report_source != ReportSource::None,
+    );
+    let commands = Commands::new();
+    let names = (file.zone_names(), file.kind_names());
+    let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
+    spawn_local(driver.clone().run());
+    spawn_local(discovery::watch(driver.clone(), Rc::clone(&commands), config.discovery, pushed));
+    spawn_local(discovery::fetch(driver.clone(), commands, config.discovery));
+
+    let catalogue = Catalogue { classes, tenants: file.tenant_names() };
+    let server = Server::new(driver.clone(), catalogue, config.client_connections);
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    log(&format!("listening on {address}"));
+    tokio::select! {
+        () = server.accept(&listener) => {}
+        _ = term.recv() => {}
+    }
+
+    // Clients go on coming until they have noticed; what they send is served to the end.
+    let stop = Instant::now();
+    server.begin_stop();
+    let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
+    drop(listener);
+    server.close_all();
+    let quiet_from = stop + ACCEPT_ON + LINGER;
+    let last = stop + length(longest) + STOP_SLACK;
+    while server.connections() > 0 && Instant::now() < last {
+        if driver.owed() == 0 && Instant::now() >= quiet_from {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/settings/src/words.rs
@@ -0,0 +1,157 @@
+//! The settings object as it stands on the wire.
+
+use serde::Deserialize;
+
+/// An instance's settings. Absent keys take the values of [`Default`]; unknown ones are skipped.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Params {
+    pub balancers: Option<u32>,
+    pub classes: Vec<ClassParams>,
+    pub discovery: Option<Discovery>,
+    pub family_info: FamilyInfo,
+    pub feedback: Feedback,
+    pub goal: Goal,
+    pub limits: Limits,
+    pub over_share_worth: Option<f64>,
+    pub parties: Vec<Party>,
+    pub penalties: Penalties,
+    pub period_ms: Option<f64>,
+    pub rules: Rules,
+    pub weights: Option<Weights>,
+    pub worth_by: Option<WorthBy>,
+    pub zone: u32,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct ClassParams {
+    pub name: String,
+    pub aim_stretch: Option<f64>,
+    pub aim_ms: f64,
+    pub deadline_ms: f64,
+    pub effect: Effect,
+    pub group: Option<Group>,
+    pub late_worth: f64,
+    pub stream: bool,
+    pub dedup_window_ms: f64,
+    pub points: f64,
+}
+
+#[derive(Debug, Default, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    #[default]
+    AtMostOnce,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Discovery {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Weights {
+    Silent,
+    Nominal,
+    Rough,
+    Live,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WorthBy {
+    Request,
+    Work,
+}
+
+#[derive(Debug, Default, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Source {
+    Piggyback,
+    Pull,
+    #[default]
+    Silent,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct FamilyInfo {
+    pub warm_keys: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Feedback {
+    pub fields: Vec<String>,
+    pub source: Source,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Goal {
+    pub whole: f64,
+    pub worst_class: f64,
+    pub worst_tenant: f64,
+    pub worst_window: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub cancel: bool,
+    pub connect_timeout_ms: Option<f64>,
+    pub keepalive_ms: Option<f64>,
+    pub max_open: Option<f64>,
+    pub max_attempts: Option<u32>,
+    pub max_retry_after_ms: f64,
+    pub peers: bool,
+    pub probes: bool,
+    pub retry_after: bool,
+    pub second_copies: bool,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Party {
+    pub name: String,
+    pub allowance_per_s: f64,
+    pub fraction: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Penalties {
+    pub connection: f64,
+    pub cross_zone: f64,
+    pub handshake: f64,
+    pub late_fail: f64,
+    pub probe: f64,
+    pub waste: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Rules {
+    pub ask_within_ms: Option<f64>,
+    pub cold_share: Option<f64>,
+    pub warm_after_ms: Option<f64>,
+    pub stop_sending_within_ms: Option<f64>,
+    pub overload_factor: Option<f64>,
+    pub fall_ms: Option<f64>,
+}
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -75,7 +75,7 @@
                 return Ok(());
             }
             Incoming::Attach { salt, params } => {
-                let balancer = Balancer::new(settings(*params)?, salt).map_err(|e| e.to_string())?;
+                let balancer = Balancer::new(params.settings(), salt).map_err(|e| e.to_string())?;
                 self.instances.insert(who, Instance::new(balancer));
                 return self.drive(now, who, None, outbox);
             }
@@ -331,104 +331,6 @@
     }
 }
 
-/// The settings in the library's terms; what is absent keeps the library's default.
-fn settings(params: wire::Params) -> Result<Settings, String> {
-    let standard = Settings::default();
-    let span = |ms: Option<f64>, other: Span| ms.map_or(other, Span::from_ms);
-    let rules = params.rules;
-    let classes = params.classes.into_iter().map(class).collect();
-    let field = |name: &String| match name.as_str() {
-        "inflight" => ReportField::InFlight,
-        "queue" => ReportField::Queue,
-        "util" => ReportField::Utilisation,
-        "latency_ms" => ReportField::ServiceTime,
-        "qps" => ReportField::Rate,
-        "eps" => ReportField::Errors,
-        _ => ReportField::Other,
-    };
-    Ok(Settings {
-        balancers: params.balancers.unwrap_or(standard.balancers),
-        zone: ZoneId(params.zone),
-        classes,
-        tenants: params
-            .parties
-            .iter()
-            .map(|p| Tenant { fraction: p.fraction, allowance_per_s: p.allowance_per_s })
-            .collect(),
-        over_share_worth: params.over_share_worth.unwrap_or(standard.over_share_worth),
-        worth_by_work: params.worth_by == Some(wire::WorthBy::Work),
-        goal: Goal {
-            whole: params.goal.whole,
-            worst_window: params.goal.worst_window,
-            worst_class: params.goal.worst_class,
-            worst_tenant: params.goal.worst_tenant,
-        },
-        prices: Prices {
-            cross_zone: params.penalties.cross_zone,
-            probe: params.penalties.probe,
-            handshake: params.penalties.handshake,
-            connection: params.penalties.connection,
-            waste: params.penalties.waste,
-            late_fail: params.penalties.late_fail,
-        },
-        discovery: match params.discovery {
-            Some(wire::Discovery::OnRequest) => Discovery::OnRequest,
-            Some(wire::Discovery::Pushed) | None => Discovery::Pushed,
-        },
-        ask_within: span(rules.ask_within_ms, standard.ask_within),
-        report_source: match params.feedback.source {
-            wire::Source::Piggyback => ReportSource::Answers,
-            wire::Source::Pull => ReportSource::Probes,
-            wire::Source::Silent => ReportSource::None,
-        },
-        report_fields: params.feedback.fields.iter().map(field).collect(),
-        weights: match params.weights {
-            Some(wire::Weights::Nominal | wire::Weights::Rough) => Weights::Size,
-            Some(wire::Weights::Live) => Weights::Live,
-            Some(wire::Weights::Silent) | None => Weights::None,
-        },
-        warm_keys: params.family_info.warm_keys,
-        max_attempts: params.limits.max_attempts.unwrap_or(standard.max_attempts),
-        second_copies: params.limits.second_copies,
-        cancel: params.limits.cancel,
-        probes: params.limits.probes,
-        peers: params.limits.peers,
-        retry_after: params.limits.retry_after,
-        max_retry_after: Span::from_ms(params.limits.max_retry_after_ms),
-        drain_grace: span(rules.stop_sending_within_ms, standard.drain_grace),
-        cold_share: rules.cold_share.unwrap_or(standard.cold_share),
-        warm_after: span(rules.warm_after_ms, standard.warm_after),
-        overload_factor: rules.overload_factor.unwrap_or(standard.overload_factor),
-        fall_after: span(rules.fall_ms, standard.fall_after),
-        period: span(params.period_ms, standard.period),
-    })
-}
-
-fn class(params: wire::ClassParams) -> Class {
-    let effect = match params.effect {
-        wire::Effect::Idempotent => Effect::Idempotent,
-        wire::Effect::AtMostOnce => Effect::AtMostOnce,
-        wire::Effect::Deduplicated => Effect::Deduplicated {
-            group: match params.group {
-                Some(wire::Group::All) => Group::All,
-                Some(wire::Group::Zone) => Group::Zone,
-                // Without a stated group the narrowest one is the safe reading.
-                Some(wire::Group::Cell) | None => Group::Cell,
-            },
-            window: Span::from_ms(params.dedup_window_ms),
-        },
-    };
-    Class {
-        effect,
-        aim: Span::from_ms(params.aim_ms),
-        aim_stretch: params.aim_stretch.unwrap_or(0.0),
-        deadline: Span::from_ms(params.deadline_ms),
-        worth: params.points,
-        late_worth: params.late_worth,
-        stream: params.stream,
-    }
-}
-
 /// Keys only need to be told apart; the hash is fixed so that equal keys are equal in every process.
 fn fnv1a(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
