Test the agent over loopback; make room at the seat cap and stop a storm of connects

Seen by reading, then shown by tests: (1) at the cap, server.rs waited for hyper's graceful close, which on a connection that has had no request waits for one, so clients that connect and say nothing kept every seat until the head's time-out; they are dropped now, except at a stop, where their request is on its way. (2) backend.rs took a next connection whenever one ended with nothing written, also a new one, so a server that ends each at once was met with connect after connect; only a pooled one is replaced now. New tests: every row of the outcome table, the answer at the deadline, drains, moves and failures of discovery, SIGTERM, bad input, the caps and the want of descriptors.

--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -104,12 +104,14 @@
     view: View,
     task: AbortHandle,
     written_before: u64,
+    /// It has carried nothing yet.
+    fresh: bool,
 }
 
 impl Lease {
-    fn new(sender: SendRequest<Full<Bytes>>, view: View, task: AbortHandle) -> Self {
+    fn new(sender: SendRequest<Full<Bytes>>, view: View, task: AbortHandle, fresh: bool) -> Self {
         let written_before = view.written();
-        Lease { sender: Some(sender), view, task, written_before }
+        Lease { sender: Some(sender), view, task, written_before, fresh }
     }
 
     fn written(&self) -> u64 {
@@ -187,8 +189,11 @@
             match sender.try_send_request(request).await {
                 Ok(answer) => return self.read(place, lease, answer).await,
                 // A pooled connection that ended before anything was written to it says nothing of the server,
-                // and no attempt was made: take the next one.
-                Err(e) if e.message().is_some() && lease.written() == 0 => progress.0.set(false),
+                // and no attempt was made: take the next one. A new one that ends so does say something, and
+                // to go on would be a storm of connections.
+                Err(e) if !lease.fresh && e.message().is_some() && lease.written() == 0 => {
+                    progress.0.set(false);
+                }
                 Err(_) if lease.written() < least => return Outcome::ConnectFailed.into(),
                 Err(_) => return Outcome::ConnectionReset.into(),
             }
@@ -240,7 +245,7 @@
         let now = Instant::now();
         while let Some(idle) = self.pop(place.server) {
             if idle.is_usable(now, self.rest, place.life) {
-                return Ok(Lease::new(idle.sender, idle.view, idle.task));
+                return Ok(Lease::new(idle.sender, idle.view, idle.task, false));
             }
             idle.task.abort();
         }
@@ -261,7 +266,7 @@
         let task = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Lease::new(sender, view, task.abort_handle()))
+        Ok(Lease::new(sender, view, task.abort_handle(), true))
     }
 
     fn pop(&self, server: ServerId) -> Option<Idle> {
@@ -348,6 +353,92 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    fn backends() -> Rc<Backends> {
+        Backends::new(4, Duration::from_secs(20), Duration::from_secs(60), Vec::new(), false)
+    }
+
+    fn post(body: usize) -> Call {
+        let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
+        Call { method: Method::POST, uri, headers, body: vec![7; body].into() }
+    }
+
+    async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
+        let place = Place { server: ServerId(0), address, life: 0 };
+        let until = Instant::now() + Duration::from_secs(60);
+        let progress = Progress::default();
+        backends().attempt(place, &post(body), until, &progress, || may_send).await.outcome
+    }
+
+    /// The drain rule counts a send from its first byte: what was decided before may come too late to go.
+    #[tokio::test]
+    async fn nothing_is_written_once_it_may_not_be_sent() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let local = LocalSet::new();
+        assert_eq!(local.run_until(attempt(address, 9, false)).await, Outcome::NotSent);
+        drop(local);
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
+    }
+
+    /// More than the two sockets can hold, to a peer that closes: the last byte is provably not written.
+    #[tokio::test]
+    async fn a_break_before_the_last_byte_never_ran() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 1]).await;
+        };
+        let both = async { tokio::join!(attempt(address, 64 << 20, true), peer).0 };
+        assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
+    }
+
+    /// A server that ends each new connection at once gets one and no storm of them; whether the message was
+    /// taken by then is in doubt, so either reading of it holds.
+    #[tokio::test]
+    async fn a_new_connection_that_ends_at_once_is_not_repeated() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut accepted = 0;
+        let peer = async {
+            loop {
+                drop(listener.accept().await);
+                accepted += 1;
+            }
+        };
+        let outcome = async {
+            tokio::select! {
+                outcome = attempt(address, 9, true) => outcome,
+                () = peer => unreachable!("it accepts for ever"),
+            }
+        };
+        let outcome = LocalSet::new().run_until(outcome).await;
+        assert!(matches!(outcome, Outcome::ConnectFailed | Outcome::ConnectionReset), "{outcome:?}");
+        assert!(accepted <= 1, "{accepted} connections");
+    }
+
+    /// A machine that is cut off says nothing; the connect must not wait for ever, and nothing has run.
+    #[tokio::test(start_paused = true)]
+    async fn a_connection_that_never_comes_up_fails_in_time() {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        // What fills the queue is answered; what comes after it is not.
+        let mut queue = Vec::new();
+        for _ in 0..8 {
+            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            filler.set_nonblocking(true).unwrap();
+            let _ = filler.connect(&address.into());
+            queue.push(filler);
+        }
+        assert_eq!(LocalSet::new().run_until(attempt(address, 9, true)).await, Outcome::ConnectFailed);
+    }
 
     #[test]
     fn a_report_is_read_by_name_and_a_malformed_one_is_none() {
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -48,6 +48,8 @@
 /// What a connection shows of itself to the others.
 struct Seat {
     busy: Cell<bool>,
+    /// It has carried a request already.
+    used: Cell<bool>,
     since: Cell<Instant>,
     close: Notify,
 }
@@ -84,11 +86,8 @@
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
             // is made before it is needed.
             while self.open.count() >= self.open_most {
-                if !self.close_coldest() {
-                    let _ = timeout(ACCEPT_PAUSE, self.left.notified()).await;
-                } else {
-                    self.left.notified().await;
-                }
+                self.close_coldest();
+                let _ = timeout(ACCEPT_PAUSE, self.left.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -120,16 +119,21 @@
         self.open.count()
     }
 
-    /// Asks the connection that has been idle longest to close; false if all are at work.
-    fn close_coldest(&self) -> bool {
+    /// Asks the connection that has been idle longest to close, if one is idle.
+    fn close_coldest(&self) {
         let seats = self.seats.borrow();
-        let coldest = seats.values().filter(|s| !s.busy.get()).min_by_key(|s| s.since.get());
-        coldest.map(|seat| seat.close.notify_one()).is_some()
+        if let Some(seat) = seats.values().filter(|s| !s.busy.get()).min_by_key(|s| s.since.get()) {
+            seat.close.notify_one();
+        }
     }
 
     async fn serve(self: Rc<Self>, number: u64, stream: TcpStream) {
-        let seat =
-            Rc::new(Seat { busy: Cell::new(false), since: Cell::new(Instant::now()), close: Notify::new() });
+        let seat = Rc::new(Seat {
+            busy: Cell::new(false),
+            used: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            close: Notify::new(),
+        });
         self.seats.borrow_mut().insert(number, Rc::clone(&seat));
         let (wire, view) = Wire::new(stream, self.open.enter());
         self.converse(&seat, wire, view).await;
@@ -142,6 +146,7 @@
             let (server, seat) = (Rc::clone(self), Rc::clone(seat));
             async move {
                 seat.busy.set(true);
+                seat.used.set(true);
                 let mut answer = server.handle(request).await;
                 seat.busy.set(false);
                 seat.since.set(Instant::now());
@@ -164,6 +169,11 @@
                 return;
             }
         }
+        // hyper would wait for the first request of one that has not had any. At a stop that is right: its client
+        // has just come. But a crowd that says nothing must not keep the seats.
+        if !seat.used.get() && !self.stopping.get() {
+            return;
+        }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
--- /dev/null
+++ b/agent/tests/loopback/limits.rs
@@ -0,0 +1,107 @@
+//! Bad input from clients, bad configurations, and descriptors.
+
+use crate::common::*;
+use std::io::Read;
+
+/// Whatever can't be used gets a plain 4xx and never reaches a backend.
+#[test]
+fn bad_requests_get_a_4xx_and_no_backend_hears_of_them() {
+    let backend = Backend::new(|_| ok("x"));
+    let (agent, _discovery) = Agent::with(&[&backend]);
+    let read = request("read", 9000);
+    let once = request("once", 9000);
+    let bad = [
+        ("no class", read.replace("X-Call-Class: read\r\n", "")),
+        ("unknown class", read.replace("read", "write")),
+        ("class and path differ", read.replace("GET /read", "GET /once")),
+        ("no id", read.replace("X-Call-Id", "X-Other")),
+        ("two ids", read.replace("X-Call-Class", "X-Call-Id: b\r\nX-Call-Class")),
+        ("no budget", read.replace("X-Budget-Ms", "X-Other")),
+        ("a budget that is no number", read.replace("9000", "soon")),
+        ("a negative budget", read.replace("9000", "-9")),
+        ("a method that does not fit", read.replace("GET", "POST")),
+        ("a key where none belongs", once.replace("X-Caller", "Idempotency-Key: k\r\nX-Caller")),
+        ("no key where one belongs", request("zoned", 9000).replace("Idempotency-Key", "X-Other")),
+        ("not HTTP", "\u{0}\u{1}\u{2}\r\n\r\n".into()),
+        ("a length that is no number", once.replace("Content-Length: 4", "Content-Length: four")),
+        (
+            "a body over 64 KiB",
+            once.replace("Content-Length: 4", "Content-Length: 65537") + &"x".repeat(65536),
+        ),
+        ("a head over any size", read.replace("X-Caller: ", &format!("X-Caller: {}", "x".repeat(600_000)))),
+    ];
+    for (what, text) in bad {
+        let mut client = Client::to(&agent);
+        // The agent may close before it has read all.
+        let _ = std::io::Write::write_all(&mut client.stream, text.as_bytes());
+        let status = client.read().map(|m| m.status());
+        assert!(status.is_none_or(|s| (400..500).contains(&s)), "{what}: {status:?}");
+        assert!(status.is_some() || what.contains("over"), "{what}: closed without a word");
+    }
+    assert_eq!(backend.heard.all().len(), 0);
+    let largest =
+        once.replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65536\r\n\r\n") + &"x".repeat(65536);
+    assert_eq!(Client::to(&agent).ask(&largest).status(), 200);
+    assert_eq!(backend.heard.all()[0].body.len(), 65536);
+}
+
+#[test]
+fn a_bad_configuration_ends_with_one_line() {
+    let discovery = "127.0.0.1:1".parse().unwrap();
+    let good = config(discovery, "", SETTINGS, 1024);
+    let bad = [
+        "{",
+        &good.replace("127.0.0.1:0", "nowhere"),
+        &good.replace("\"maxAttempts\":3", "\"maxAttempts\":0"),
+    ];
+    for text in bad {
+        let output = command(text).output().unwrap();
+        assert!(output.status.code().is_some_and(|c| c != 0), "{text}");
+        assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1, "{text}");
+    }
+}
+
+/// More clients than there are seats: idle ones make room, and every request is served.
+#[test]
+fn connections_over_the_cap_make_room_for_each_other() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    // 64 descriptors less the reserve leave 8 seats.
+    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let mut clients = Vec::new();
+    for _ in 0..40 {
+        let mut client = Client::to(&agent);
+        assert_eq!(client.ask(&request("read", 9000)).status(), 200);
+        clients.push(client);
+    }
+    // The first has made room for others: it reads an end, not a failure.
+    assert_eq!(clients[0].stream.read(&mut [0; 1]).unwrap(), 0);
+}
+
+/// Running out of descriptors for good: the agent outlives it and serves again.
+#[test]
+fn want_of_descriptors_is_survived() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let text = config(discovery.address, &line, SETTINGS, 1024);
+    // The configuration promises more than the shell's limit lets the process have.
+    let agent = Agent::start_limited(&text, 40);
+    let crowd: Vec<Client> = (0..80).map(|_| Client::to(&agent)).collect();
+    drop(crowd);
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("read", 9000)).status(), 200);
+}
+
+/// A crowd that connects and says nothing must not keep the seats from those that ask.
+#[test]
+fn a_silent_crowd_does_not_keep_the_seats() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let crowd: Vec<Client> = (0..40).map(|_| Client::to(&agent)).collect();
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+    drop(crowd);
+}
--- /dev/null
+++ b/agent/tests/loopback/lists.rs
@@ -0,0 +1,83 @@
+//! Discovery: what it tells is followed, and its failures are survived.
+
+use crate::common::*;
+
+#[test]
+fn readiness_waits_for_a_list() {
+    let backend = Backend::new(|_| ok("x"));
+    let discovery = Discovery::new(String::new());
+    let agent = Agent::start(&config(discovery.address, "", SETTINGS, 1024));
+    let mut client = Client::to(&agent);
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    assert_ne!(client.ask(ready).status(), 200);
+    discovery.change(serving("s", backend.address));
+    while client.ask(ready).status() != 200 {
+        std::thread::yield_now();
+    }
+    assert_eq!(client.ask(&request("read", 9000)).status(), 200);
+}
+
+/// The next watch names the version that the last answer brought.
+#[test]
+fn a_watch_goes_on_from_the_last_version() {
+    let backend = Backend::new(|_| ok("x"));
+    let (_agent, discovery) = Agent::with(&[&backend]);
+    let asked = discovery.asked.wait(2);
+    assert!(asked[0].contains("from=1&hold_ms="), "{asked:?}");
+    assert!(asked[1].contains("from=2&hold_ms="), "{asked:?}");
+    discovery.change(serving("s0", backend.address));
+    assert!(discovery.asked.wait(3)[2].contains("from=3&hold_ms="));
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_new_and_loses_its_connections() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let (agent, discovery) = Agent::with(&[&old]);
+    discovery.asked.wait(2);
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+    let lines = [target("s0", old.address, "DRAINING", 0), serving("s1", new.address)].join(",");
+    discovery.change(lines);
+    // The list has been taken in once the next watch is out.
+    discovery.asked.wait(3);
+    old.ended.wait(1);
+    for _ in 0..20 {
+        assert_eq!(client.ask(&request("read", 9000)).body, b"new");
+    }
+    assert_eq!(old.heard.all().len(), 1);
+}
+
+/// A server that has restarted or moved is another process: connections to the one before are not used.
+#[test]
+fn a_server_that_moved_is_met_at_its_new_address() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let (agent, discovery) = Agent::with(&[&old]);
+    discovery.asked.wait(2);
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("once", 9000)).body, b"old");
+    discovery.change(serving("s0", new.address));
+    discovery.asked.wait(3);
+    assert_eq!(client.ask(&request("once", 9000)).body, b"new");
+    old.ended.wait(1);
+    discovery.change(target("s0", new.address, "SERVING", 1));
+    discovery.asked.wait(4);
+    new.ended.wait(1);
+}
+
+/// A call that fails is asked again, from the list that is still known, and requests are served meanwhile.
+#[test]
+fn discovery_may_fail_and_come_back() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let (agent, discovery) = Agent::with(&[&old]);
+    discovery.asked.wait(2);
+    discovery.set_down(true);
+    discovery.asked.wait(4);
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+    discovery.change(serving("s1", new.address));
+    discovery.set_down(false);
+    let asked = discovery.asked.all().len();
+    // The one that brings the news, and the one that follows it.
+    discovery.asked.wait(asked + 2);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"new");
+}
--- /dev/null
+++ b/agent/tests/loopback/main.rs
@@ -0,0 +1,7 @@
+//! The agent's own program between scripted peers on loopback.
+
+mod common;
+mod limits;
+mod lists;
+mod outcomes;
+mod stopping;
--- /dev/null
+++ b/agent/tests/loopback/stopping.rs
@@ -0,0 +1,40 @@
+//! SIGTERM: what has been taken is answered, newcomers are served for a while, and the end is clean.
+
+use crate::common::*;
+use std::sync::mpsc;
+use std::sync::Mutex;
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_serves_newcomers() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let backend = Backend::new(move |m| {
+        if m.path().starts_with("/once") {
+            let _ = held.lock().unwrap().recv_timeout(BOUND);
+        }
+        ok("done")
+    });
+    let (mut agent, _discovery) = Agent::with(&[&backend]);
+    let mut idle = Client::to(&agent);
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    let mut busy = Client::to(&agent);
+    busy.write(&request("once", 9000));
+    backend.heard.wait(2);
+    agent.terminate();
+    // Signals are seen in order with what comes after; a newcomer is answered and told to close.
+    let closing = loop {
+        let answer = Client::to(&agent).ask(&request("read", 9000));
+        assert_eq!(answer.status(), 200);
+        if answer.header("Connection") == Some("close") {
+            break true;
+        }
+    };
+    assert!(closing);
+    // A connection that was idle at the signal may still be used.
+    let answer = idle.ask(&request("read", 9000));
+    assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
+    release.send(()).unwrap();
+    let answer = busy.read().expect("what was taken is answered");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, "done".as_bytes()));
+    assert_eq!(agent.ended(), Some(0));
+}
