Mend four faults found by reading: a lost outcome, kept seats, a deaf list, connections past a drain

Also: no event queue (nothing re-enters), a panic of the module costs one event, and a discovery that answers at once with nothing new is asked every 100 ms only.

--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -302,12 +302,13 @@
         }
     }
 
-    /// Closes what has rested long enough or has been closed by its server.
-    pub fn retire(&self) {
+    /// Closes what has rested long enough, has been closed by its server, or leads to one that is not what it
+    /// was: `is_current` tells of a server and a life whether that still is.
+    pub fn retire(&self, is_current: impl Fn(ServerId, u64) -> bool) {
         let now = Instant::now();
-        self.idle.borrow_mut().retain(|_, pool| {
+        self.idle.borrow_mut().retain(|&server, pool| {
             pool.retain(|idle| {
-                let usable = idle.is_usable(now, self.rest, idle.life);
+                let usable = is_current(server, idle.life) && idle.is_usable(now, self.rest, idle.life);
                 if !usable {
                     idle.task.abort();
                 }
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -7,7 +7,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use serde::Deserialize;
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +24,8 @@
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
 /// The largest list that is read.
 const LIST_MOST: usize = 8 * 1024 * 1024;
-/// Least time between two watches of which the first brought nothing; well within the 200 ms between watches.
+/// Pause after an answer that came at once and brought nothing new, so that a discovery which does not wait is not
+/// asked without end; well within the 200 ms that may lie between two watches.
 const EMPTY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a pushed list is asked for again; the source is on the same machine.
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
@@ -37,9 +39,27 @@
     #[serde(default)]
     pub all: bool,
     /// Its lines.
+    #[serde(deserialize_with = "readable")]
     pub targets: Vec<Target>,
 }
 
+/// The lines that can be read: one that can't must not make the agent deaf to all others.
+fn readable<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<Target>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Line {
+        Read(Target),
+        Other(IgnoredAny),
+    }
+    let lines = Vec::<Line>::deserialize(input)?.into_iter();
+    Ok(lines
+        .filter_map(|line| match line {
+            Line::Read(target) => Some(target),
+            Line::Other(_) => None,
+        })
+        .collect())
+}
+
 /// A line of the list.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Target {
@@ -164,7 +184,7 @@
         };
         match answer {
             Some(list) => {
-                let empty = list.targets.is_empty() && asked.elapsed() < EMPTY_PAUSE;
+                let empty = list.rev == driver.list_version() && asked.elapsed() < EMPTY_PAUSE;
                 driver.listed(list);
                 if empty {
                     sleep(EMPTY_PAUSE).await;
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,8 +5,9 @@
 use ryelead::*;
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap};
 use std::io::Write;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -80,7 +81,7 @@
     reply: Option<oneshot::Sender<Answer>>,
     attempts: u32,
     /// What calls off the attempts that are out.
-    out: HashMap<u32, oneshot::Sender<()>>,
+    out: HashMap<u32, Option<oneshot::Sender<()>>>,
 }
 
 struct Server {
@@ -111,9 +112,6 @@
 
 struct Core {
     balancer: Balancer,
-    /// Events that came while the balancer was at work; it is handed one at a time.
-    queue: VecDeque<Event>,
-    at_work: bool,
     open: HashMap<RequestId, Open>,
     next_request: u64,
     timers: BinaryHeap<Reverse<(Time, u64)>>,
@@ -152,8 +150,6 @@
             (settings.max_attempts, Duration::from_micros(settings.drain_grace.0));
         let core = Core {
             balancer: Balancer::new(settings, seed).map_err(|e| e.to_string())?,
-            queue: VecDeque::new(),
-            at_work: false,
             open: HashMap::new(),
             next_request: 0,
             timers: BinaryHeap::new(),
@@ -187,7 +183,12 @@
         let retire = async {
             loop {
                 sleep(RETIRE_EVERY).await;
-                self.0.backends.retire();
+                let core = self.0.core.borrow();
+                // A connection that was at work when its server was told to drain, moved or left comes back after.
+                let is_current = |server: ServerId, life| {
+                    core.servers.get(server.0 as usize).is_some_and(|s| s.serving && s.place.life == life)
+                };
+                self.0.backends.retire(is_current);
             }
         };
         tokio::join!(self.run_timers(), retire);
@@ -227,28 +228,18 @@
 
     // ---- events -------------------------------------------------------------------------------------
 
-    /// Hands an event to the balancer and carries out what it decides.
+    /// Hands an event to the balancer and carries out what it decides. A panic of the module costs that event
+    /// and no more: the requests that it forgets are answered at their deadline.
     fn tell(&self, event: Event) {
-        {
-            let mut core = self.0.core.borrow_mut();
-            core.queue.push_back(event);
-            if core.at_work {
-                return;
-            }
-            core.at_work = true;
-        }
-        loop {
-            let mut actions = Vec::new();
-            {
-                let core = &mut *self.0.core.borrow_mut();
-                let Some(event) = core.queue.pop_front() else {
-                    core.at_work = false;
-                    return;
-                };
-                core.balancer.handle(self.0.clock.now(), event, &mut actions);
-            }
-            self.perform(actions);
+        let mut actions = Vec::new();
+        let now = self.0.clock.now();
+        let run = catch_unwind(AssertUnwindSafe(|| {
+            self.0.core.borrow_mut().balancer.handle(now, event, &mut actions);
+        }));
+        if run.is_err() {
+            log("the decision module has panicked; going on");
         }
+        self.perform(actions);
     }
 
     /// Takes a request in; the answer comes on the receiver.
@@ -321,8 +312,10 @@
             match action {
                 Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
                 Action::Cancel { request, attempt } => {
+                    // It stays listed as out: its request must not be forgotten before its outcome is told.
                     let mut core = self.0.core.borrow_mut();
-                    if let Some(cancel) = core.open.get_mut(&request).and_then(|o| o.out.remove(&attempt.0)) {
+                    let out = core.open.get_mut(&request).and_then(|o| o.out.get_mut(&attempt.0));
+                    if let Some(cancel) = out.and_then(Option::take) {
                         let _ = cancel.send(());
                     }
                 }
@@ -358,7 +351,7 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let (cancel, cancelled) = oneshot::channel();
-        open.out.insert(attempt, cancel);
+        open.out.insert(attempt, Some(cancel));
         // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
         let until = self.0.clock.instant(timeout_at).min(open.deadline - ATTEMPT_RESERVE);
         let lawful = open.reply.is_some() && attempt < self.0.max_attempts && until > now;
@@ -500,3 +493,72 @@
 pub fn log(text: &str) {
     let _ = writeln!(std::io::stderr(), "dilljunction: {text}");
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::{HeaderMap, Method, Uri};
+    use tokio::net::TcpListener;
+    use tokio::task::{yield_now, LocalSet};
+
+    async fn driver() -> (Driver, TcpListener) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let list = format!(
+            r#"{{"rev":1,"all":true,"targets":[{{"uid":"s","endpoint":"{}","state":"SERVING"}}]}}"#,
+            listener.local_addr().unwrap()
+        );
+        let second = Duration::from_secs(1);
+        let backends = Backends::new(4, second, second, Vec::new(), false);
+        let known = serde_json::from_str(&list).unwrap();
+        let driver = Driver::new(Settings::default(), 7, (&[], &[]), Some(known), backends, Commands::new());
+        (driver.unwrap(), listener)
+    }
+
+    fn submit(driver: &Driver) -> (RequestId, oneshot::Receiver<Answer>) {
+        let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
+        let call = Call { method: Method::GET, uri, headers, body: bytes::Bytes::new() };
+        let deadline = Instant::now() + Duration::from_secs(60);
+        let (class, tenant, key, cost_hint, repeat) = (ClassId(0), None, None, None, false);
+        driver.submit(call, Arrival { class, tenant, key, cost_hint, repeat, deadline })
+    }
+
+    /// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
+    /// called off must not be forgotten before that attempt's outcome is told.
+    #[tokio::test]
+    async fn an_attempt_called_off_is_reported_though_its_request_has_ended() {
+        let local = LocalSet::new();
+        let test = async {
+            let (driver, _listener) = driver().await;
+            let (id, answer) = submit(&driver);
+            let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
+            driver.perform(vec![cancel, Action::Fail { request: id }]);
+            assert!(matches!(answer.await, Ok(Answer::Failed)));
+            assert!(driver.0.core.borrow().open.contains_key(&id), "its outcome has not been told");
+            while driver.0.core.borrow().open.contains_key(&id) {
+                yield_now().await;
+            }
+        };
+        local.run_until(test).await;
+    }
+
+    /// Nothing is answered twice, and nothing is kept of a request that is over.
+    #[tokio::test]
+    async fn the_first_answer_is_the_only_one() {
+        let local = LocalSet::new();
+        let test = async {
+            let (driver, _listener) = driver().await;
+            let (id, answer) = submit(&driver);
+            driver.perform(vec![
+                Action::Fail { request: id },
+                Action::Refuse { request: id, retry_after: None },
+            ]);
+            assert!(matches!(answer.await, Ok(Answer::Failed)));
+            assert_eq!(driver.owed(), 0);
+            driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
+            while driver.0.core.borrow().open.contains_key(&id) {
+                yield_now().await;
+            }
+        };
+        local.run_until(test).await;
+    }
+}
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -29,6 +29,8 @@
 const BODY_WAIT: Duration = Duration::from_secs(5);
 /// And one that has not begun may keep its connection this long.
 const HEAD_WAIT: Duration = Duration::from_secs(60);
+/// How long a connection that has been asked to close may take to pass on an answer.
+const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// Pause after an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// No client waits longer than this, whatever it says.
@@ -174,7 +176,11 @@
         if seat.used.get() || !self.stopping.get() {
             connection.as_mut().graceful_shutdown();
         }
-        let _ = connection.await;
+        // What is left is to pass on an answer that is owed or has been given; a client that does not read, or
+        // has begun a request and says no more, must not keep its seat.
+        while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err()
+            && (seat.busy.get() || self.stopping.get())
+        {}
     }
 
     /// One request, one answer.
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -105,3 +105,20 @@
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
     drop(crowd);
 }
+
+/// Nor may a crowd that begins a request and says no more.
+#[test]
+fn half_requests_do_not_keep_the_seats() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let crowd = (0..12).map(|_| {
+        let mut client = Client::to(&agent);
+        client.write("GET /read HTTP/1.1\r\nHost:");
+        client
+    });
+    let crowd: Vec<Client> = crowd.collect();
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+    drop(crowd);
+}
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -81,3 +81,36 @@
     discovery.asked.wait(asked + 2);
     assert_eq!(client.ask(&request("read", 9000)).body, b"new");
 }
+
+/// One line that can't be read must not make the agent deaf to the others.
+#[test]
+fn a_line_that_cannot_be_read_is_passed_over() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let (agent, discovery) = Agent::with(&[&old]);
+    discovery.asked.wait(2);
+    let odd = r#"{"uid":"odd","endpoint":"nowhere","state":"SERVING"},{"uid":7},null"#;
+    discovery.change(format!("{odd},{}", serving("s1", new.address)));
+    discovery.asked.wait(3);
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"new");
+}
+
+/// A connection that was at work when its server was told to drain is closed once it is free.
+#[test]
+fn a_connection_that_outlasts_the_drain_is_closed() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let backend = Backend::new(move |_| {
+        let _ = held.lock().unwrap().recv_timeout(BOUND);
+        ok("done")
+    });
+    let (agent, discovery) = Agent::with(&[&backend]);
+    discovery.asked.wait(2);
+    let mut client = Client::to(&agent);
+    client.write(&request("once", 9000));
+    backend.heard.wait(1);
+    discovery.change(target("s0", backend.address, "DRAINING", 0));
+    discovery.asked.wait(3);
+    release.send(()).unwrap();
+    assert_eq!(client.read().map(|m| m.status()), Some(200));
+    backend.ended.wait(1);
+}
