--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -368,10 +368,40 @@
     }
 
     async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
+        attempt_of(&backends(), address, body, may_send).await
+    }
+
+    async fn attempt_of(
+        backends: &Rc<Backends>,
+        address: SocketAddr,
+        body: usize,
+        may_send: bool,
+    ) -> Outcome {
         let place = Place { server: ServerId(0), address, life: 0 };
         let until = Instant::now() + Duration::from_secs(60);
         let progress = Progress::default();
-        backends().attempt(place, &post(body), until, &progress, || may_send).await.outcome
+        backends.attempt(place, &post(body), until, &progress, || may_send).await.outcome
+    }
+
+    /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
+    #[tokio::test]
+    async fn past_the_cap_nothing_is_sent() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let second = Duration::from_secs(1);
+        let backends = Backends::new(1, second, second, Vec::new(), false);
+        let both = async {
+            tokio::select! {
+                biased;
+                outcome = attempt_of(&backends, address, 9, true) => panic!("silence gave {outcome:?}"),
+                outcome = attempt_of(&backends, address, 9, true) => outcome,
+            }
+        };
+        let outcome = timeout(Duration::from_secs(20), LocalSet::new().run_until(both)).await;
+        assert_eq!(outcome.ok(), Some(Outcome::NotSent));
+        // What the first held is free again.
+        tokio::task::yield_now().await;
+        assert_eq!(backends.open.count(), 0);
     }
 
     /// The drain rule counts a send from its first byte: what was decided before may come too late to go.
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{mpsc, Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -134,6 +134,21 @@
     }
 }
 
+impl Backend {
+    /// A backend that keeps requests of the class `once` until it is told to go on.
+    pub fn gated() -> (Backend, mpsc::Sender<()>) {
+        let (release, held) = mpsc::channel::<()>();
+        let held = Mutex::new(held);
+        let backend = Backend::new(move |m| {
+            if m.path().starts_with("/once") {
+                let _ = held.lock().unwrap().recv_timeout(BOUND);
+            }
+            ok("done")
+        });
+        (backend, release)
+    }
+}
+
 fn converse(mut stream: TcpStream, script: &dyn Fn(&Message) -> Act, heard: &Tally<Message>) {
     let mut input = BufReader::new(stream.try_clone().unwrap());
     while let Some(message) = Message::read(&mut input) {
@@ -272,6 +287,13 @@
         Agent::watch(command(config).spawn().unwrap())
     }
 
+    /// An agent with one backend and a configuration that allows so many descriptors.
+    pub fn with_sockets(backend: &Backend, sockets: usize) -> (Agent, Discovery) {
+        let line = serving("s", backend.address);
+        let discovery = Discovery::new(line.clone());
+        (Agent::start(&config(discovery.address, &line, SETTINGS, sockets)), discovery)
+    }
+
     /// An agent whose process may hold fewer descriptors than its configuration says.
     pub fn start_limited(config: &str, descriptors: usize) -> Agent {
         let mut shell = Command::new("sh");
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -65,10 +65,8 @@
 #[test]
 fn connections_over_the_cap_make_room_for_each_other() {
     let backend = Backend::new(|_| ok("x"));
-    let line = serving("s", backend.address);
-    let discovery = Discovery::new(line.clone());
     // 64 descriptors less the reserve leave 8 seats.
-    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let (agent, _discovery) = Agent::with_sockets(&backend, 64);
     let mut clients = Vec::new();
     for _ in 0..40 {
         let mut client = Client::to(&agent);
@@ -98,9 +96,7 @@
 #[test]
 fn a_silent_crowd_does_not_keep_the_seats() {
     let backend = Backend::new(|_| ok("x"));
-    let line = serving("s", backend.address);
-    let discovery = Discovery::new(line.clone());
-    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let (agent, _discovery) = Agent::with_sockets(&backend, 64);
     let crowd: Vec<Client> = (0..40).map(|_| Client::to(&agent)).collect();
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
     drop(crowd);
@@ -110,9 +106,7 @@
 #[test]
 fn half_requests_do_not_keep_the_seats() {
     let backend = Backend::new(|_| ok("x"));
-    let line = serving("s", backend.address);
-    let discovery = Discovery::new(line.clone());
-    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 64));
+    let (agent, _discovery) = Agent::with_sockets(&backend, 64);
     let crowd = (0..12).map(|_| {
         let mut client = Client::to(&agent);
         client.write("GET /read HTTP/1.1\r\nHost:");
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -97,12 +97,7 @@
 /// A connection that was at work when its server was told to drain is closed once it is free.
 #[test]
 fn a_connection_that_outlasts_the_drain_is_closed() {
-    let (release, held) = std::sync::mpsc::channel::<()>();
-    let held = std::sync::Mutex::new(held);
-    let backend = Backend::new(move |_| {
-        let _ = held.lock().unwrap().recv_timeout(BOUND);
-        ok("done")
-    });
+    let (backend, release) = Backend::gated();
     let (agent, discovery) = Agent::with(&[&backend]);
     discovery.asked.wait(2);
     let mut client = Client::to(&agent);
@@ -114,3 +109,16 @@
     assert_eq!(client.read().map(|m| m.status()), Some(200));
     backend.ended.wait(1);
 }
+
+/// Where lists are pushed the module asks for nothing, and the agent follows the list by itself.
+#[test]
+fn a_pushed_list_is_followed_too() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let discovery = Discovery::new(serving("s0", old.address));
+    let settings = SETTINGS.replace("on_request", "pushed");
+    let agent = Agent::start(&config(discovery.address, "", &settings, 1024));
+    discovery.asked.wait(2);
+    discovery.change(serving("s1", new.address));
+    discovery.asked.wait(3);
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"new");
+}
--- a/agent/tests/loopback/stopping.rs
+++ b/agent/tests/loopback/stopping.rs
@@ -1,20 +1,11 @@
 //! SIGTERM: what has been taken is answered, newcomers are served for a while, and the end is clean.
 
 use crate::common::*;
-use std::sync::mpsc;
-use std::sync::Mutex;
 
 /// A client that has connected before the listener closed may ask after that: it has nowhere else to turn.
 #[test]
 fn a_connection_without_a_request_yet_outlives_the_listener() {
-    let (release, held) = mpsc::channel::<()>();
-    let held = Mutex::new(held);
-    let backend = Backend::new(move |m| {
-        if m.path().starts_with("/once") {
-            let _ = held.lock().unwrap().recv_timeout(BOUND);
-        }
-        ok("done")
-    });
+    let (backend, release) = Backend::gated();
     let (mut agent, _discovery) = Agent::with(&[&backend]);
     let mut busy = Client::to(&agent);
     busy.write(&request("once", 9000));
@@ -36,14 +27,7 @@
 
 #[test]
 fn sigterm_finishes_what_was_taken_and_serves_newcomers() {
-    let (release, held) = mpsc::channel::<()>();
-    let held = Mutex::new(held);
-    let backend = Backend::new(move |m| {
-        if m.path().starts_with("/once") {
-            let _ = held.lock().unwrap().recv_timeout(BOUND);
-        }
-        ok("done")
-    });
+    let (backend, release) = Backend::gated();
     let (mut agent, _discovery) = Agent::with(&[&backend]);
     let mut idle = Client::to(&agent);
     assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
