Follow discovery to its new address on SIGHUP instead of dying of the signal

Cause: main.rs waited for SIGTERM alone, so SIGHUP kept its default action; discovery.rs took one address for life. Mend: SIGHUP is caught before the configuration is read; discovery::run drops the calls that are out when the source moves (an old answer can't overwrite a newer one), asks the new one for its whole list (versions are its own) until it has answered, and then watches it. What is known stands till then. A file that can't be used is logged.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -61,6 +61,19 @@
         Config::parse(&text, var("LB_LISTEN"), var("LB_DISCOVERY")).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
+    /// environment is as old as the process and has no say here. Nothing else changes without a restart.
+    pub fn reread_discovery() -> Result<SocketAddr, String> {
+        #[derive(Deserialize)]
+        struct Moved {
+            discovery: String,
+        }
+        let path = std::env::var("LB_CONFIG").map_err(|e| format!("LB_CONFIG: {e}"))?;
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
+        let moved: Moved = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+        moved.discovery.parse().map_err(|e| format!("{path}: discovery address {:?}: {e}", moved.discovery))
+    }
+
     fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| format!("not a configuration: {e}"))?;
         let address = |what: &str, text: Option<String>| {
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, StatusCode};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Deserializer};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,12 @@
 /// How long a call may take besides that; the service gives up its own calls well before.
 const ANSWER_WAIT: Duration = Duration::from_secs(5);
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
+/// How long a new source may take for its first answer before it is asked again, and the pause before that: what it
+/// has to tell must be known within 4 s.
+const MOVED_WAIT: Duration = Duration::from_millis(2500);
+const MOVED_PAUSE: Duration = Duration::from_millis(150);
+/// The whole list; with a version it is a watch on what is newer.
+const LIST_PATH: &str = "/registry/instances";
 /// The largest list that is read.
 const LIST_MOST: usize = 8 * 1024 * 1024;
 /// Pause after an answer that came at once and brought nothing new, so that a discovery which does not wait is not
@@ -98,16 +105,18 @@
     Deleted,
 }
 
-/// How the driver tells discovery what the module wants.
+/// How the driver and the operators tell discovery what they want.
 pub struct Commands {
     following: watch::Sender<bool>,
     fetch: Notify,
+    source: watch::Sender<SocketAddr>,
 }
 
 impl Commands {
     /// Neither watching nor asking.
-    pub fn new() -> Rc<Self> {
-        Rc::new(Commands { following: watch::Sender::new(false), fetch: Notify::new() })
+    pub fn new(source: SocketAddr) -> Rc<Self> {
+        let (following, source) = (watch::Sender::new(false), watch::Sender::new(source));
+        Rc::new(Commands { following, fetch: Notify::new(), source })
     }
 
     /// Starts or ends the watch.
@@ -119,6 +128,11 @@
     pub fn fetch(&self) {
         self.fetch.notify_one();
     }
+
+    /// Discovery listens elsewhere from now on; true if that is news.
+    pub fn move_to(&self, source: SocketAddr) -> bool {
+        self.source.send_if_modified(|old| std::mem::replace(old, source) != source)
+    }
 }
 
 /// A kept connection to discovery; it is closed when this is dropped.
@@ -164,51 +178,95 @@
     Some(list)
 }
 
-/// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
-/// all times, and a failure is no news to the module, which has asked for nothing.
-pub async fn watch(driver: Driver, commands: Rc<Commands>, address: SocketAddr, pushed: bool) {
-    let mut following = commands.following.subscribe();
-    let mut line = None;
+/// Asks discovery wherever it is for as long as the agent lives. `known` is the version of the list that the agent
+/// started with; `pushed`: the list is sent by itself.
+pub async fn run(driver: Driver, commands: Rc<Commands>, known: i64, pushed: bool) {
+    let mut source = commands.source.subscribe();
     if pushed {
         commands.follow(true);
     }
+    // What the agent was told at its start came from the first source.
+    let mut version = Some(known);
     loop {
-        if following.wait_for(|active| *active).await.is_err() {
-            return;
+        let address = *source.borrow_and_update();
+        let asking = Asking { driver: &driver, commands: &commands, address, version: Cell::new(version) };
+        tokio::select! {
+            () = asking.watch(pushed) => return,
+            () = asking.fetch() => return,
+            // The calls that are out end here: what the old source still answers must not overwrite the new list.
+            moved = source.changed() => if moved.is_err() { return },
         }
-        let path = format!("/registry/instances?from={}&hold_ms={}", driver.list_version(), HOLD.as_millis());
-        let asked = Instant::now();
-        let answer = tokio::select! {
-            answer = timeout(HOLD + ANSWER_WAIT, call(address, &mut line, &path)) => answer.ok().flatten(),
-            _ = following.wait_for(|active| !active) => continue,
-        };
-        match answer {
-            Some(list) => {
-                let empty = list.rev == driver.list_version() && asked.elapsed() < EMPTY_PAUSE;
-                driver.listed(list);
-                if empty {
-                    sleep(EMPTY_PAUSE).await;
-                }
+        version = None;
+    }
+}
+
+/// The calls to one source.
+struct Asking<'a> {
+    driver: &'a Driver,
+    commands: &'a Commands,
+    address: SocketAddr,
+    /// The version of the list that this source has told; another source's versions say nothing here.
+    version: Cell<Option<i64>>,
+}
+
+impl Asking<'_> {
+    fn listed(&self, list: ListReply) {
+        self.version.set(Some(list.rev));
+        self.driver.listed(list);
+    }
+
+    /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
+    /// all times, and a failure is no news to the module, which has asked for nothing.
+    async fn watch(&self, pushed: bool) {
+        let mut following = self.commands.following.subscribe();
+        let mut line = None;
+        // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
+        // the module is waiting for, until it has answered. What is known stands till then.
+        while self.version.get().is_none() {
+            match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
+                Some(list) => self.listed(ListReply { all: true, ..list }),
+                None => sleep(MOVED_PAUSE).await,
+            }
+        }
+        loop {
+            if following.wait_for(|active| *active).await.is_err() {
+                return;
             }
-            None if pushed => sleep(PUSHED_PAUSE).await,
-            None => {
-                line = None;
-                commands.follow(false);
-                driver.list_failed();
+            let version = self.version.get().unwrap_or_default();
+            let path = format!("{LIST_PATH}?from={version}&hold_ms={}", HOLD.as_millis());
+            let asked = Instant::now();
+            let answer = tokio::select! {
+                answer = timeout(HOLD + ANSWER_WAIT, call(self.address, &mut line, &path)) => answer.ok().flatten(),
+                _ = following.wait_for(|active| !active) => continue,
+            };
+            match answer {
+                Some(list) => {
+                    let empty = Some(list.rev) == self.version.get() && asked.elapsed() < EMPTY_PAUSE;
+                    self.listed(list);
+                    if empty {
+                        sleep(EMPTY_PAUSE).await;
+                    }
+                }
+                None if pushed => sleep(PUSHED_PAUSE).await,
+                None => {
+                    line = None;
+                    self.commands.follow(false);
+                    self.driver.list_failed();
+                }
             }
         }
     }
-}
 
-/// Fetches the whole list whenever the module asks for it.
-pub async fn fetch(driver: Driver, commands: Rc<Commands>, address: SocketAddr) {
-    loop {
-        commands.fetch.notified().await;
-        match timeout(ANSWER_WAIT, call(address, &mut None, "/registry/instances")).await.ok().flatten() {
-            Some(list) if list.rev >= driver.list_version() => driver.listed(list),
-            // The watch has brought something newer meanwhile.
-            Some(_) => {}
-            None => driver.list_failed(),
+    /// Fetches the whole list whenever the module asks for it.
+    async fn fetch(&self) {
+        loop {
+            self.commands.fetch.notified().await;
+            match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
+                Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
+                // The watch has brought something newer meanwhile.
+                Some(_) => {}
+                None => self.driver.list_failed(),
+            }
         }
     }
 }
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -119,7 +119,6 @@
     ids: HashMap<String, ServerId>,
     zones: Numbers,
     kinds: Numbers,
-    list_version: i64,
 }
 
 struct Inner {
@@ -157,7 +156,6 @@
             ids: HashMap::new(),
             zones: Numbers::new(names.0),
             kinds: Numbers::new(names.1),
-            list_version: 0,
         };
         let driver = Driver(Rc::new(Inner {
             clock: Clock::new(),
@@ -172,7 +170,7 @@
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
         if let Some(known) = known {
-            let lines = driver.take_list(known.rev, true, known.targets);
+            let lines = driver.take_list(true, known.targets);
             driver.tell(Event::List(ListUpdate::Saved(lines)));
         }
         Ok(driver)
@@ -406,14 +404,9 @@
 
     // ---- the list -----------------------------------------------------------------------------------
 
-    /// The version of the list that is known.
-    pub fn list_version(&self) -> i64 {
-        self.0.core.borrow().list_version
-    }
-
     /// Discovery has answered.
     pub fn listed(&self, reply: ListReply) {
-        let lines = self.take_list(reply.rev, reply.all, reply.targets);
+        let lines = self.take_list(reply.all, reply.targets);
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
     }
@@ -424,9 +417,8 @@
     }
 
     /// Takes over addresses and states; returns the lines in the module's terms.
-    fn take_list(&self, version: i64, all: bool, targets: Vec<Target>) -> Vec<Listed> {
+    fn take_list(&self, all: bool, targets: Vec<Target>) -> Vec<Listed> {
         let core = &mut *self.0.core.borrow_mut();
-        core.list_version = version;
         let mut named = Vec::new();
         let lines = targets.into_iter().map(|target| {
             let line = core.take_target(&target, &self.0.backends);
@@ -498,6 +490,7 @@
 mod tests {
     use super::*;
     use hyper::{HeaderMap, Method, Uri};
+    use std::net::SocketAddr;
     use tokio::net::TcpListener;
     use tokio::task::{yield_now, LocalSet};
 
@@ -510,7 +503,14 @@
         let second = Duration::from_secs(1);
         let backends = Backends::new(4, second, second, Vec::new(), false);
         let known = serde_json::from_str(&list).unwrap();
-        let driver = Driver::new(Settings::default(), 7, (&[], &[]), Some(known), backends, Commands::new());
+        let driver = Driver::new(
+            Settings::default(),
+            7,
+            (&[], &[]),
+            Some(known),
+            backends,
+            Commands::new(SocketAddr::from(([127, 0, 0, 1], 1))),
+        );
         (driver.unwrap(), listener)
     }
 
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -29,16 +29,9 @@
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
 fn main() -> ExitCode {
-    let config = match Config::from_env() {
-        Ok(config) => config,
-        Err(fault) => {
-            log(&fault);
-            return ExitCode::from(2);
-        }
-    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let end = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run(config)),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run()),
         Err(e) => Err(format!("cannot start the runtime: {e}")),
     };
     match end {
@@ -54,8 +47,22 @@
     Duration::from_micros(span.0)
 }
 
-async fn run(config: Config) -> Result<(), String> {
+/// Moves to where the configuration names discovery, at each signal.
+async fn reload(mut hangup: Signal, commands: Rc<Commands>) {
+    while hangup.recv().await.is_some() {
+        match Config::reread_discovery() {
+            Ok(source) if commands.move_to(source) => log(&format!("discovery is at {source} now")),
+            Ok(_) => {}
+            Err(fault) => log(&format!("the configuration stays as it was: {fault}")),
+        }
+    }
+}
+
+async fn run() -> Result<(), String> {
+    // First of all: a signal that nobody waits for ends the program.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+    let config = Config::from_env()?;
     let file = &config.settings;
     let settings = file.settings();
     let classes = file.class_names().into_iter().zip(settings.classes.iter().map(|c| c.effect)).collect();
@@ -68,12 +75,13 @@
         file.report_names().to_vec(),
         settings.report_source != ReportSource::None,
     );
-    let commands = Commands::new();
+    let commands = Commands::new(config.discovery);
     let names = (file.zone_names(), file.kind_names());
+    let version = config.known.as_ref().map_or(0, |list| list.rev);
     let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
     spawn_local(driver.clone().run());
-    spawn_local(discovery::watch(driver.clone(), Rc::clone(&commands), config.discovery, pushed));
-    spawn_local(discovery::fetch(driver.clone(), commands, config.discovery));
+    spawn_local(reload(hangup, Rc::clone(&commands)));
+    spawn_local(discovery::run(driver.clone(), commands, version, pushed));
 
     let catalogue = Catalogue { classes, tenants: file.tenant_names() };
     let server = Server::new(driver.clone(), catalogue, config.client_connections);
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc, Condvar, Mutex};
@@ -263,6 +263,7 @@
 pub struct Agent {
     pub child: Child,
     pub address: SocketAddr,
+    config: PathBuf,
 }
 
 static FILES: AtomicUsize = AtomicUsize::new(0);
@@ -275,16 +276,17 @@
     path
 }
 
-pub fn command(config: &str) -> Command {
+pub fn command(config: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dilljunction"));
-    command.env("LB_CONFIG", config_file(config)).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+    command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
     command.stderr(Stdio::piped());
     command
 }
 
 impl Agent {
     pub fn start(config: &str) -> Agent {
-        Agent::watch(command(config).spawn().unwrap())
+        let config = config_file(config);
+        Agent::watch(command(&config).spawn().unwrap(), config)
     }
 
     /// An agent with one backend and a configuration that allows so many descriptors.
@@ -298,11 +300,12 @@
     pub fn start_limited(config: &str, descriptors: usize) -> Agent {
         let mut shell = Command::new("sh");
         let script = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_dilljunction"));
-        shell.args(["-c", &script]).env("LB_CONFIG", config_file(config)).stderr(Stdio::piped());
-        Agent::watch(shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").spawn().unwrap())
+        let config = config_file(config);
+        shell.args(["-c", &script]).env("LB_CONFIG", &config).stderr(Stdio::piped());
+        Agent::watch(shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").spawn().unwrap(), config)
     }
 
-    fn watch(mut child: Child) -> Agent {
+    fn watch(mut child: Child, config: PathBuf) -> Agent {
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         let address = loop {
@@ -314,7 +317,7 @@
         };
         // The log is read to its end, or a full pipe would stop the agent.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Agent { child, address }
+        Agent { child, address, config }
     }
 
     /// An agent that knows these backends from the start, and a discovery that lists the same.
@@ -326,8 +329,18 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and tells the agent so.
+    pub fn reload(&self, config: &str) {
+        std::fs::rename(config_file(config), &self.config).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
     /// Waits for the end; the exit code.
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -55,7 +55,7 @@
         &good.replace("\"maxAttempts\":3", "\"maxAttempts\":0"),
     ];
     for text in bad {
-        let output = command(text).output().unwrap();
+        let output = command(&config_file(text)).output().unwrap();
         assert!(output.status.code().is_some_and(|c| c != 0), "{text}");
         assert_eq!(String::from_utf8_lossy(&output.stderr).lines().count(), 1, "{text}");
     }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -4,4 +4,5 @@
 mod limits;
 mod lists;
 mod outcomes;
+mod reload;
 mod stopping;
