Close what rests in a crowd of clients: those that ask once and stay used up all connections

A line of the seats showed it: in 0.4 s clients brought 110 connections that asked once and then rested; 127 of 168 seats idle and used, 1 busy. Clients may hold a third of the descriptors (128 of 384), so the usual ones had none left to ask on. Lines at fault: seats.rs, an idle used connection could stay 60 s unless seats (half of the descriptors) ran out, which clients can't reach. Mend: beyond a sixth of the descriptors those idle for 2 s are closed, first those that asked once only; beyond a quarter each answer ends its connection. Test: clients_that_ask_once_and_stay_make_room (without the mend no answer closes and the first stays).

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -53,6 +53,8 @@
     pub seed: u64,
     /// Most connections of clients that are held at once.
     pub client_connections: usize,
+    /// Beyond so many, clients' connections that rest are closed; and beyond so many, all after their answer.
+    pub client_crowd: (usize, usize),
     /// Most connections to backends that are held at once.
     pub backend_connections: usize,
     /// Most bytes that bodies of requests and answers hold at once.
@@ -107,6 +109,9 @@
             discovery: address("discovery", discovery.or(file.discovery))?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             client_connections: clients.min(usable / 2),
+            // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
+            // room for the others long before that.
+            client_crowd: (sockets / 6, sockets / 4),
             backend_connections: usable - usable / 2,
             body_bytes: (memory * BODIES_SHARE) as usize,
             known: file.known,
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -103,7 +103,7 @@
     spawn_local(discovery::run(driver.clone(), commands, version, pushed));
 
     let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-    let server = Server::new(driver, catalogue, config.client_connections);
+    let server = Server::new(driver, catalogue, config.client_connections, config.client_crowd);
     spawn_local(Rc::clone(&server).sweep());
     let listener = TcpListener::bind(config.listen)
         .await
--- a/agent/src/seats.rs
+++ b/agent/src/seats.rs
@@ -14,6 +14,8 @@
 const READ_WAIT: Duration = Duration::from_millis(1500);
 /// An idle connection that has carried a request may stay this long.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
+/// Where there are many, only this long.
+const CROWD_WAIT: Duration = Duration::from_secs(2);
 /// A client that takes nothing of its answer for this long gets no more of it.
 const STUCK_WAIT: Duration = Duration::from_secs(2);
 /// How long a connection that has been turned away may take to end.
@@ -51,6 +53,8 @@
     phase: Cell<Phase>,
     since: Cell<Instant>,
     used: Cell<bool>,
+    /// It has been used more than once, so its client may come back.
+    reused: Cell<bool>,
     /// What had been received when the last answer was given.
     mark: Cell<u64>,
     end: Cell<Option<End>>,
@@ -80,7 +84,7 @@
 
     /// The head of a request has come.
     pub fn begin(&self) {
-        self.used.set(true);
+        self.reused.set(self.used.replace(true));
         if self.phase.get() != Phase::Reading {
             self.enter(Phase::Reading);
         }
@@ -182,6 +186,7 @@
             phase: Cell::new(Phase::Waiting),
             since: Cell::new(Instant::now()),
             used: Cell::new(false),
+            reused: Cell::new(false),
             mark: Cell::new(0),
             end: Cell::new(None),
             ending: Notify::new(),
@@ -213,14 +218,24 @@
         }
     }
 
-    /// Ends those whose time is over.
-    pub fn sweep(&self) {
-        let now = Instant::now();
-        for seat in self.seats.borrow().values() {
+    /// Ends those whose time is over, and of more than `most` those that rest, first those that asked once only.
+    pub fn sweep(&self, most: usize) {
+        let (now, seats) = (Instant::now(), self.seats.borrow());
+        for seat in seats.values() {
             if let Some(end) = seat.overdue(now) {
                 seat.tell(end);
             }
         }
+        let rests = |seat: &&Rc<Seat>| {
+            let idle = seat.phase.get() == Phase::Waiting && seat.used.get() && seat.end.get().is_none();
+            idle && now.saturating_duration_since(seat.since.get()) > CROWD_WAIT
+        };
+        let mut resting: Vec<_> =
+            if seats.len() > most { seats.values().filter(rests).collect() } else { Vec::new() };
+        resting.sort_by_key(|seat| (seat.reused.get(), seat.since.get()));
+        for seat in resting.into_iter().take(seats.len().saturating_sub(most)) {
+            seat.tell(End::Gently);
+        }
     }
 
     /// Closes the connections that are idle, and the others after their answer.
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -41,14 +41,16 @@
     seats: Seats,
     open: Gauge,
     open_most: usize,
+    /// Beyond so many, those that rest are closed; and beyond so many, all after their answer.
+    crowd: (usize, usize),
     stopping: Cell<bool>,
 }
 
 impl Server {
     /// Serves nobody yet.
-    pub fn new(driver: Driver, catalogue: Catalogue, open_most: usize) -> Rc<Self> {
+    pub fn new(driver: Driver, catalogue: Catalogue, open_most: usize, crowd: (usize, usize)) -> Rc<Self> {
         let (seats, open, stopping) = Default::default();
-        Rc::new(Server { driver, catalogue, seats, open, open_most, stopping })
+        Rc::new(Server { driver, catalogue, seats, open, open_most, crowd, stopping })
     }
 
     /// Accepts connections until dropped.
@@ -82,7 +84,7 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             sleep(SWEEP_EVERY).await;
-            self.seats.sweep();
+            self.seats.sweep(self.crowd.0);
         }
     }
 
@@ -112,7 +114,8 @@
             async move {
                 seat.begin();
                 let mut answer = server.handle(&seat, request).await;
-                if server.stopping.get() {
+                // Clients that ask once and stay would leave the others none of the connections that all may hold.
+                if server.stopping.get() || server.open.count() > server.crowd.1 {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 seat.answer(answer.headers().contains_key(CONNECTION));
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -116,3 +116,23 @@
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
     drop(crowd);
 }
+
+/// Clients that ask once and keep their connection for good must not use up what all clients together may hold: in a
+/// crowd an answer ends its connection, and those that rest are closed long before their time.
+#[test]
+fn clients_that_ask_once_and_stay_make_room() {
+    let backend = Backend::new(|_| ok("x"));
+    let (agent, _discovery) = Agent::with_sockets(&backend, 192);
+    let mut crowd: Vec<Client> = Vec::new();
+    let mut closing = 0;
+    for _ in 0..60 {
+        let mut client = Client::to(&agent);
+        let answer = client.ask(&request("read", 9000));
+        assert_eq!(answer.status(), 200);
+        closing += usize::from(answer.header("Connection") == Some("close"));
+        crowd.push(client);
+    }
+    assert!(closing > 0, "a crowd's answers end their connections");
+    assert!(crowd[0].read().is_none(), "the one that has rested longest is closed");
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+}
