--- a/agent/tests/loopback/clients.rs
+++ b/agent/tests/loopback/clients.rs
@@ -124,6 +124,10 @@
         while let Some(answer) = client.read() {
             assert!((400..500).contains(&answer.status()), "{}", answer.line);
         }
+        // Nothing read is a close only if it is no time-out of the test's own.
+        let end = std::io::Read::read(&mut client.stream, &mut [0; 1]);
+        let timed_out = end.as_ref().is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        assert!(!timed_out, "the connection is still open");
     }
     assert_eq!(backend.heard.all().len(), 1);
 }
