--- /dev/null
+++ b/agent/src/agent.rs
@@ -0,0 +1,137 @@
+//! One agent, whole: started from its configuration, serving until it is told to stop.
+
+use crate::budget::Budget;
+use crate::config::Config;
+use crate::driver::Driver;
+use crate::fronts::plain::intake::{Catalogue, Class};
+use crate::fronts::plain::server::Server;
+use crate::list::Commands;
+use crate::log::log;
+use crate::sources::platform;
+use crate::upstream::backend::Backends;
+use crate::upstream::pool::Pool;
+use ryelead::{Discovery, ReportSource, Settings, Span};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout, Instant};
+
+/// After a stop new connections go on coming for a while, and are served.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+/// Once nothing is owed, connections that have not been used yet are given this long.
+const LINGER: Duration = Duration::from_millis(400);
+/// The end, counted from the stop over the longest deadline.
+const STOP_SLACK: Duration = Duration::from_millis(300);
+
+fn length(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+/// A task that ends with the agent.
+struct Task(AbortHandle);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn task(work: impl Future<Output = ()> + 'static) -> Task {
+    Task(spawn_local(work).abort_handle())
+}
+
+/// An agent that listens. It lives on the thread and the [`tokio::task::LocalSet`] on which it was started; when it is
+/// dropped it stops at once.
+pub struct Agent {
+    server: Rc<Server>,
+    listener: TcpListener,
+    address: SocketAddr,
+    commands: Rc<Commands>,
+    longest: Duration,
+    _tasks: Vec<Task>,
+}
+
+impl Agent {
+    /// Starts an agent; must be called on a [`tokio::task::LocalSet`]. Fails if the configuration can't be decided by
+    /// or its address can't be listened on.
+    pub async fn start(config: Config) -> Result<Agent, String> {
+        let file = &config.settings;
+        // The protocol lets every refusal say when to come back.
+        let settings = Settings { retry_after: true, ..file.settings() };
+        let classes = file.class_names().into_iter().zip(&settings.classes);
+        let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
+        let classes = classes.collect();
+        let longest = length(settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
+        let pushed = settings.discovery == Discovery::Pushed;
+        let bodies = Budget::new(config.body_bytes);
+        let pool = Pool::new(
+            config.backend_connections,
+            length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
+            length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
+        );
+        let backends = Backends::new(
+            pool,
+            Rc::clone(&bodies),
+            file.report_names().to_vec(),
+            settings.report_source != ReportSource::None,
+        );
+        let commands = Commands::new(config.discovery);
+        let names = (file.zone_names(), file.kind_names());
+        let version = config.known.as_ref().map_or(0, |list| list.rev);
+        let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
+        let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
+        let server = Server::new(driver.clone(), catalogue, config.client_connections, config.client_crowd);
+        let tasks = vec![
+            task(driver.clone().run()),
+            task(platform::run(driver, Rc::clone(&commands), version, pushed)),
+            task(Rc::clone(&server).sweep()),
+        ];
+        let listener = TcpListener::bind(config.listen)
+            .await
+            .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        Ok(Agent { server, listener, address, commands, longest, _tasks: tasks })
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What moves this agent to another address of discovery while it serves.
+    pub fn mover(&self) -> impl Fn(SocketAddr) + 'static {
+        let commands = Rc::clone(&self.commands);
+        move |source| {
+            if commands.move_to(source) {
+                log(&format!("discovery is at {source} now"));
+            }
+        }
+    }
+
+    /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed, and 0.3 s
+    /// over the longest deadline of a class at the latest.
+    pub async fn serve(self, stop: impl Future<Output = ()>) {
+        let Agent { server, listener, longest, _tasks, .. } = self;
+        tokio::select! {
+            () = server.accept(&listener) => {}
+            () = stop => {}
+        }
+        // Clients go on coming until they have noticed; what they send is served to the end.
+        let stop = Instant::now();
+        server.begin_stop();
+        let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
+        drop(listener);
+        server.close_all();
+        let quiet_from = stop + ACCEPT_ON + LINGER;
+        let last = stop + longest + STOP_SLACK;
+        while server.connections() > 0 && Instant::now() < last {
+            if server.owed() == 0 && Instant::now() >= quiet_from {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,11 +1,14 @@
 //! What the agent is told at its start, by the environment and the file that it names.
 
-use crate::discovery::ListReply;
+use crate::fault::Fault;
+use crate::list::ListReply;
+use crate::switches::{read_bounded, Switches};
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// Descriptors kept back for the listener, discovery, the runtime and accepted connections on their way out.
 const RESERVE: usize = 48;
@@ -67,59 +70,115 @@
 
 impl Config {
     /// Reads the file that `LB_CONFIG` names; `LB_LISTEN` and `LB_DISCOVERY` overrule what it says.
-    pub fn from_env() -> Result<Config, String> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set; it must name the configuration file")?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Config::parse(&text, var("LB_LISTEN"), var("LB_DISCOVERY")).map_err(|e| format!("{path}: {e}"))
+    pub fn from_env(switches: Switches) -> Result<Config, Fault> {
+        let path = var("LB_CONFIG")
+            .ok_or_else(|| Fault::of_all("LB_CONFIG is not set; it must name the configuration file"))?;
+        let of_file = |fault: Fault| fault.in_file(&path);
+        let file = read(Path::new(&path)).map_err(of_file)?;
+        Config::new(file, switches, var("LB_LISTEN"), var("LB_DISCOVERY")).map_err(of_file)
+    }
+
+    /// Reads a configuration file as if `LB_CONFIG` named it.
+    pub fn read(path: &Path, switches: Switches) -> Result<Config, Fault> {
+        read(path)
+            .and_then(|file| Config::new(file, switches, None, None))
+            .map_err(|fault| fault.in_file(path))
+    }
+
+    /// Reads the text of a configuration file.
+    pub fn parse(text: &[u8], switches: Switches) -> Result<Config, Fault> {
+        Config::new(parse(text)?, switches, None, None)
     }
 
     /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
     /// environment is as old as the process and has no say here. Nothing else changes without a restart.
-    pub fn reread_discovery() -> Result<SocketAddr, String> {
+    pub fn reread_discovery() -> Result<SocketAddr, Fault> {
         #[derive(Deserialize)]
         struct Moved {
             discovery: String,
         }
-        let path = std::env::var("LB_CONFIG").map_err(|e| format!("LB_CONFIG: {e}"))?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let moved: Moved = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-        moved.discovery.parse().map_err(|e| format!("{path}: discovery address {:?}: {e}", moved.discovery))
+        let path = var("LB_CONFIG").ok_or_else(|| Fault::of_all("LB_CONFIG is not set"))?;
+        let moved = read_bounded(Path::new(&path)).and_then(|text| parse_as::<Moved>(&text));
+        moved
+            .and_then(|moved| address("discovery", Some(moved.discovery)))
+            .map_err(|fault| fault.in_file(&path))
     }
 
-    fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
-        let file: File = serde_json::from_slice(text).map_err(|e| format!("not a configuration: {e}"))?;
-        let address = |what: &str, text: Option<String>| {
-            let text = text.ok_or_else(|| format!("no {what} address is given"))?;
-            text.parse::<SocketAddr>().map_err(|e| format!("{what} address {text:?}: {e}"))
-        };
-        file.settings.settings().validate().map_err(|e| e.to_string())?;
+    fn new(
+        file: File,
+        switches: Switches,
+        listen: Option<String>,
+        discovery: Option<String>,
+    ) -> Result<Config, Fault> {
+        file.settings.settings().validate().map_err(|e| Fault::of_key("settings", e.to_string()))?;
         if file.settings.class_names().iter().any(String::is_empty) {
-            return Err("a request class has no name".into());
+            return Err(Fault::of_key("settings.classes", "a request class has no name"));
         }
         let sockets = file.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
         if sockets < SOCKETS_LEAST {
-            return Err(format!("limits.sockets is {sockets}; at least {SOCKETS_LEAST} are needed"));
+            let reason = format!("is {sockets}; at least {SOCKETS_LEAST} are needed");
+            return Err(Fault::of_key("limits.sockets", reason));
         }
         let usable = sockets - RESERVE;
         let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
         let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
+        let own = switches.limits.unwrap_or_default();
+        let client_connections = own.client_connections.unwrap_or(clients.min(usable / 2));
+        let backend_connections = own.server_connections.unwrap_or(usable - usable / 2);
+        if client_connections + backend_connections > usable {
+            let reason = format!(
+                "client and server connections come to {}, and of the {sockets} descriptors of the configuration's \
+                 limits.sockets no more than {usable} are for them",
+                client_connections + backend_connections
+            );
+            return Err(Fault::of_key("limits", reason));
+        }
+        let crowd = match own.client_connections {
+            Some(most) => (most - most / 3, most - most / 6),
+            // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
+            // room for the others long before that.
+            None => (sockets / 6, sockets / 4),
+        };
+        let bodies = own.body_memory_mb.map(|mb| mb as usize * 1024 * 1024);
         Ok(Config {
             listen: address("listen", listen.or(file.listen))?,
             discovery: address("discovery", discovery.or(file.discovery))?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
-            client_connections: clients.min(usable / 2),
-            // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
-            // room for the others long before that.
-            client_crowd: (sockets / 6, sockets / 4),
-            backend_connections: usable - usable / 2,
-            body_bytes: (memory * BODIES_SHARE) as usize,
+            client_connections,
+            client_crowd: crowd,
+            backend_connections,
+            body_bytes: bodies.unwrap_or((memory * BODIES_SHARE) as usize),
             known: file.known,
             settings: file.settings,
         })
     }
 }
 
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn parse_as<'a, T: Deserialize<'a>>(text: &'a [u8]) -> Result<T, Fault> {
+    let mut document = serde_json::Deserializer::from_slice(text);
+    serde_path_to_error::deserialize(&mut document).map_err(|e| {
+        let reason = format!("not a configuration: {}", e.inner());
+        Fault::at_path(e.path(), &reason)
+    })
+}
+
+fn parse(text: &[u8]) -> Result<File, Fault> {
+    parse_as(text)
+}
+
+fn read(path: &Path) -> Result<File, Fault> {
+    parse(&read_bounded(path)?)
+}
+
+fn address(key: &str, text: Option<String>) -> Result<SocketAddr, Fault> {
+    let text = text.ok_or_else(|| Fault::of_key(key, "no address is given"))?;
+    text.parse().map_err(|e| Fault::of_key(key, format!("address {text:?}: {e}")))
+}
+
 /// The seed is hexadecimal text; whatever else stands there still gives some number.
 fn seed_number(seed: &serde_json::Value) -> u64 {
     let hex = seed.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
@@ -137,7 +196,7 @@
     const SETTINGS: &str = r#"{"classes":[{"name":"read","aimMs":200.0,"deadlineMs":400.0,"points":1.0}]}"#;
 
     fn parse(text: &str) -> Result<Config, String> {
-        Config::parse(text.as_bytes(), None, None)
+        Config::parse(text.as_bytes(), Switches::default()).map_err(|fault| fault.to_string())
     }
 
     #[test]
@@ -150,10 +209,11 @@
         assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
         assert!(config.client_connections + config.backend_connections + RESERVE <= 1024);
         let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
-        let small = Config::parse(small.as_bytes(), None, None).expect("usable");
+        let small = Config::parse(small.as_bytes(), Switches::default()).expect("usable");
         let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
         assert!(held <= 16.0 * 1024.0 * 1024.0 && small.client_connections > 250);
-        let over = Config::parse(text.as_bytes(), Some("127.0.0.2:90".into()), None).expect("usable");
+        let file = super::parse(text.as_bytes()).expect("readable");
+        let over = Config::new(file, Switches::default(), Some("127.0.0.2:90".into()), None).expect("usable");
         assert_eq!(over.listen.to_string(), "127.0.0.2:90");
     }
 
@@ -161,10 +221,25 @@
     fn what_cannot_be_used_is_refused_with_a_reason() {
         let with = |rest: &str| parse(&format!(r#"{{"settings":{SETTINGS}{rest}}}"#)).err().expect("refused");
         assert!(parse("{").err().expect("refused").contains("not a configuration"));
-        assert!(with("").contains("no listen address"));
+        assert!(with("").contains("listen: no address"));
         assert!(with(r#","listen":"here:80""#).contains("here:80"));
         let few = with(r#","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","limits":{"sockets":9}"#);
         assert!(few.contains("at least"), "{few}");
         assert!(parse(r#"{"settings":{"classes":[]}}"#).err().expect("refused").contains("class"));
     }
+
+    #[test]
+    fn our_own_limits_overrule_the_shares_within_the_descriptors() {
+        let text = format!(
+            r#"{{"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","settings":{SETTINGS},"limits":{{"sockets":1024}}}}"#
+        );
+        let with = |own: &str| Config::parse(text.as_bytes(), Switches::parse(own).expect("usable"));
+        let config = with("[limits]\nclient_connections = 900\nserver_connections = 64\nbody_memory_mb = 3")
+            .expect("usable");
+        assert_eq!((config.client_connections, config.backend_connections), (900, 64));
+        assert_eq!((config.client_crowd, config.body_bytes), ((600, 750), 3 << 20));
+        let fault =
+            with("[limits]\nclient_connections = 900\nserver_connections = 100").err().expect("refused");
+        assert!(fault.to_string().contains("1024 descriptors"), "{fault}");
+    }
 }
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -1,146 +1,41 @@
 //! Owns the balancer: turns what happens on sockets into events, and actions into work on sockets.
 
-use crate::backend::{Backends, Call, Ended, Progress, Served};
-use crate::discovery::{Commands, ListReply, State, Target};
+use crate::clock::Clock;
+use crate::fleet::Fleet;
+use crate::list::{Commands, ListReply};
 use crate::log::log;
-use crate::pool::{Place, Pool};
+use crate::requests::{Answer, Arrival, Departure, Requests};
+use crate::timers::Timers;
+use crate::upstream::backend::{Backends, Call, Ended, Progress};
+use crate::upstream::pool::{Place, Pool};
 use hyper::header::HeaderValue;
 use ryelead::*;
 use std::cell::RefCell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Notify};
+use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
 /// word the final answer, and that can still arrive.
 const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
-/// A server that drains or is gone is sent nothing from this on before the grace is over.
-const DRAIN_RESERVE: Duration = Duration::from_millis(100);
-/// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
-const FORGET_AFTER: Duration = Duration::from_secs(1);
 /// How often connections that have rested long enough, and servers that have left, are looked for.
 const RETIRE_EVERY: Duration = Duration::from_millis(500);
 
-/// Unix time in microseconds, fixed once and then advanced by the monotonic clock: it can be compared with the
-/// times in the list and never steps back.
-struct Clock {
-    unix_us: u64,
-    start: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix_us: unix.as_micros() as u64, start: Instant::now() }
-    }
-
-    fn now(&self) -> Time {
-        Time(self.unix_us + self.start.elapsed().as_micros() as u64)
-    }
-
-    fn instant(&self, time: Time) -> Instant {
-        // A day is as good as never, and can't overflow.
-        let ahead =
-            time.since(Time(self.unix_us)).0.min(self.now().since(Time(self.unix_us)).0 + 86_400_000_000);
-        self.start + Duration::from_micros(ahead)
-    }
-}
-
-/// The final answer to a client.
-pub enum Answer {
-    /// A backend's answer.
-    Served(Served),
-    /// Not run, or harmless to repeat; with the time to come back after, if the module gives one.
-    Refused(Option<Span>),
-    /// No promise about the effect.
-    Failed,
-}
-
-/// A client's request, as far as the module is concerned.
-pub struct Arrival {
-    /// Its class.
-    pub class: ClassId,
-    /// Whose it is.
-    pub tenant: Option<TenantId>,
-    /// What it concerns.
-    pub key: Option<KeyId>,
-    /// A guess at its work.
-    pub cost_hint: Option<Span>,
-    /// The client says that it repeats an earlier one.
-    pub repeat: bool,
-    /// When the client stops waiting.
-    pub deadline: Instant,
-}
-
-/// A request that has attempts out or still owes its answer.
-struct Open {
-    call: Rc<Call>,
-    /// The client's name for it.
-    call_id: HeaderValue,
-    deadline: Instant,
-    /// Gone once the request has its final answer or its client has left.
-    reply: Option<oneshot::Sender<Answer>>,
-    attempts: u32,
-    /// What calls off the attempts that are out.
-    out: HashMap<u32, Option<oneshot::Sender<()>>>,
-}
-
-struct Server {
-    place: Place,
-    serving: bool,
-    /// It has left, and is not only draining.
-    gone: bool,
-    /// When it was first told to drain or to be gone.
-    off_since: Option<Instant>,
-    started: Option<Time>,
-    /// Attempts and probes that are out to it.
-    out: usize,
-}
-
-/// Numbers for names, in the order in which they are met; the settings' names come first.
-struct Numbers(HashMap<String, u32>);
-
-impl Numbers {
-    fn new(names: &[String]) -> Self {
-        Numbers(names.iter().zip(0..).map(|(n, i)| (n.clone(), i)).collect())
-    }
-
-    fn of(&mut self, name: &str) -> u32 {
-        let next = self.0.len() as u32;
-        // Names that the settings don't hold are few; past this they share one number.
-        if next > 1000 && !self.0.contains_key(name) {
-            return next;
-        }
-        *self.0.entry(name.to_string()).or_insert(next)
-    }
-}
-
 struct Core {
     balancer: Balancer,
-    open: HashMap<RequestId, Open>,
-    call_ids: HashSet<HeaderValue>,
-    next_request: u64,
-    timers: BinaryHeap<Reverse<(Time, u64)>>,
-    servers: HashMap<ServerId, Server>,
-    ids: HashMap<String, ServerId>,
-    /// No number is given twice, so that nothing of a server that has left falls to another.
-    next_server: u32,
-    zones: Numbers,
-    kinds: Numbers,
+    requests: Requests,
+    fleet: Fleet,
 }
 
 struct Inner {
     clock: Clock,
     core: RefCell<Core>,
-    timers_changed: Notify,
+    timers: Timers,
     backends: Rc<Backends>,
     commands: Rc<Commands>,
     max_attempts: u32,
-    drain_grace: Duration,
 }
 
 /// A handle to the balancer and all that belongs to it.
@@ -157,34 +52,17 @@
         backends: Rc<Backends>,
         commands: Rc<Commands>,
     ) -> Result<Driver, String> {
-        let (max_attempts, drain_grace) =
-            (settings.max_attempts, Duration::from_micros(settings.drain_grace.0));
-        let core = Core {
-            balancer: Balancer::new(settings, seed).map_err(|e| e.to_string())?,
-            open: HashMap::new(),
-            call_ids: HashSet::new(),
-            next_request: 0,
-            timers: BinaryHeap::new(),
-            servers: HashMap::new(),
-            ids: HashMap::new(),
-            next_server: 0,
-            zones: Numbers::new(names.0),
-            kinds: Numbers::new(names.1),
-        };
-        let driver = Driver(Rc::new(Inner {
-            clock: Clock::new(),
-            core: RefCell::new(core),
-            timers_changed: Notify::new(),
-            backends,
-            commands,
-            max_attempts,
-            drain_grace,
-        }));
+        let max_attempts = settings.max_attempts;
+        let fleet = Fleet::new(names.0, names.1, Duration::from_micros(settings.drain_grace.0));
+        let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
+        let core = RefCell::new(Core { balancer, requests: Requests::default(), fleet });
+        let (clock, timers) = (Clock::new(), Timers::default());
+        let driver = Driver(Rc::new(Inner { clock, core, timers, backends, commands, max_attempts }));
         let mut actions = Vec::new();
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
         if let Some(known) = known {
-            let lines = driver.take_list(true, known.targets);
+            let lines = driver.0.core.borrow_mut().fleet.take_list(true, &known.targets, driver.pool());
             driver.tell(Event::List(ListUpdate::Saved(lines)));
         }
         Ok(driver)
@@ -197,11 +75,8 @@
                 sleep(RETIRE_EVERY).await;
                 let core = &mut *self.0.core.borrow_mut();
                 // A connection that was at work when its server was told to drain, moved or left comes back after.
-                let is_current = |server: ServerId, life| {
-                    core.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
-                };
-                self.pool().retire(is_current);
-                core.forget_servers(self.0.drain_grace + FORGET_AFTER);
+                self.pool().retire(|server, life| core.fleet.is_current(server, life));
+                core.fleet.forget_left();
             }
         };
         tokio::join!(self.run_timers(), retire);
@@ -209,29 +84,22 @@
 
     async fn run_timers(&self) {
         loop {
-            let next = self.0.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
-            match next {
-                None => self.0.timers_changed.notified().await,
+            match self.0.timers.next() {
+                None => self.0.timers.changed().await,
                 Some(at) => tokio::select! {
                     () = sleep_until(self.0.clock.instant(at)) => {}
-                    () = self.0.timers_changed.notified() => continue,
+                    () = self.0.timers.changed() => continue,
                 },
             }
-            while let Some(timer) = self.pop_due() {
+            while let Some(timer) = self.0.timers.pop_due(self.0.clock.now()) {
                 self.tell(Event::Timer(timer));
             }
         }
     }
 
-    fn pop_due(&self) -> Option<TimerId> {
-        let mut core = self.0.core.borrow_mut();
-        let Reverse((at, _)) = *core.timers.peek()?;
-        (at <= self.0.clock.now()).then(|| core.timers.pop().map(|Reverse((_, id))| TimerId(id)))?
-    }
-
     /// True if there is a server to send to.
     pub fn can_decide(&self) -> bool {
-        self.0.core.borrow().servers.values().any(|s| s.serving)
+        self.0.core.borrow().fleet.is_serving()
     }
 
     fn pool(&self) -> &Pool {
@@ -262,19 +130,7 @@
         call_id: HeaderValue,
         arrival: Arrival,
     ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
-        let (reply, answer) = oneshot::channel();
-        let id = {
-            let mut core = self.0.core.borrow_mut();
-            if !core.call_ids.insert(call_id.clone()) {
-                return None;
-            }
-            let id = RequestId(core.next_request);
-            core.next_request += 1;
-            let (call, deadline) = (Rc::new(call), arrival.deadline);
-            let open = Open { call, call_id, deadline, reply: Some(reply), attempts: 0, out: HashMap::new() };
-            core.open.insert(id, open);
-            id
-        };
+        let (id, answer) = self.0.core.borrow_mut().requests.admit(call, call_id, arrival.deadline)?;
         let left = arrival.deadline.saturating_duration_since(Instant::now());
         self.tell(Event::Request(Request {
             id,
@@ -290,7 +146,7 @@
 
     /// Nothing is owed to a request any more: its client has gone, or its time is up.
     pub fn abandon(&self, id: RequestId) {
-        let owed = self.0.core.borrow_mut().open.get_mut(&id).is_some_and(|o| o.reply.take().is_some());
+        let owed = self.0.core.borrow_mut().requests.abandon(id);
         if owed {
             self.tell(Event::ClientGone { request: id });
             self.forget_ended(id);
@@ -299,15 +155,8 @@
 
     /// An attempt is over: a served request has its answer at once, whatever the module thinks of it.
     fn attempt_over(&self, id: RequestId, attempt: u32, sent: Instant, ended: Ended) {
-        let closed = {
-            let mut core = self.0.core.borrow_mut();
-            let Some(open) = core.open.get_mut(&id) else { return };
-            open.out.remove(&attempt);
-            if let Some((served, reply)) = ended.served.and_then(|s| Some((s, open.reply.take()?))) {
-                let _ = reply.send(Answer::Served(served));
-            }
-            open.reply.is_none()
-        };
+        let arrived = self.0.core.borrow_mut().requests.arrive(id, attempt, ended.served);
+        let Some(closed) = arrived else { return };
         self.tell(Event::Outcome {
             request: id,
             attempt: AttemptNo(attempt),
@@ -320,12 +169,7 @@
     }
 
     fn forget_ended(&self, id: RequestId) {
-        let mut core = self.0.core.borrow_mut();
-        if core.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_empty()) {
-            if let Some(open) = core.open.remove(&id) {
-                core.call_ids.remove(&open.call_id);
-            }
-        }
+        self.0.core.borrow_mut().requests.forget_ended(id);
     }
 
     // ---- actions ------------------------------------------------------------------------------------
@@ -335,19 +179,11 @@
             match action {
                 Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
                 Action::Cancel { request, attempt } => {
-                    // It stays listed as out: its request must not be forgotten before its outcome is told.
-                    let mut core = self.0.core.borrow_mut();
-                    let out = core.open.get_mut(&request).and_then(|o| o.out.get_mut(&attempt.0));
-                    if let Some(cancel) = out.and_then(Option::take) {
-                        let _ = cancel.send(());
-                    }
+                    self.0.core.borrow_mut().requests.call_off(request, attempt.0);
                 }
                 Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
                 Action::Fail { request } => self.answer(request, Answer::Failed),
-                Action::SetTimer { at, timer } => {
-                    self.0.core.borrow_mut().timers.push(Reverse((at, timer.0)));
-                    self.0.timers_changed.notify_one();
-                }
+                Action::SetTimer { at, timer } => self.0.timers.set(at, timer),
                 Action::Probe { server } => self.probe(server),
                 Action::CloseIdle { server } => self.pool().close_idle(server),
                 Action::Follow { active } => self.0.commands.follow(active),
@@ -360,26 +196,18 @@
     }
 
     fn answer(&self, id: RequestId, answer: Answer) {
-        if let Some(reply) = self.0.core.borrow_mut().open.get_mut(&id).and_then(|o| o.reply.take()) {
-            let _ = reply.send(answer);
-        }
-        self.forget_ended(id);
+        self.0.core.borrow_mut().requests.answer(id, answer);
     }
 
     fn send(&self, id: RequestId, server: ServerId, timeout_at: Time) {
         let now = Instant::now();
-        let mut core = self.0.core.borrow_mut();
-        let core = &mut *core;
-        let Some(open) = core.open.get_mut(&id) else { return };
-        let attempt = open.attempts;
-        open.attempts += 1;
-        let (cancel, cancelled) = oneshot::channel();
-        open.out.insert(attempt, Some(cancel));
-        // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
-        let until = self.0.clock.instant(timeout_at).min(open.deadline - ATTEMPT_RESERVE);
-        let lawful = open.reply.is_some() && attempt < self.0.max_attempts && until > now;
-        let place = if lawful { core.servers.get_mut(&server).map(Server::enter) } else { None };
-        let (driver, call) = (self.clone(), Rc::clone(&open.call));
+        let core = &mut *self.0.core.borrow_mut();
+        let Some(departure) = core.requests.depart(id, self.0.max_attempts) else { return };
+        let Departure { attempt, call, deadline, lawful, cancelled } = departure;
+        // Nothing is sent beyond the time that the request has, either.
+        let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
+        let place = if lawful && until > now { core.fleet.enter(server) } else { None };
+        let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = match place {
                 Some(place) => {
@@ -415,22 +243,16 @@
 
     /// For a drain a send counts from its first byte, which a wait for a connection may put off.
     fn may_send(&self, server: ServerId) -> bool {
-        let core = self.0.core.borrow();
-        let server = core.servers.get(&server);
-        server.is_some_and(|s| {
-            s.off_since.is_none_or(|since| since.elapsed() + DRAIN_RESERVE < self.0.drain_grace)
-        })
+        self.0.core.borrow().fleet.may_send(server)
     }
 
     /// An attempt or a probe is no longer out.
     fn leave(&self, server: ServerId) {
-        if let Some(server) = self.0.core.borrow_mut().servers.get_mut(&server) {
-            server.out -= 1;
-        }
+        self.0.core.borrow_mut().fleet.leave(server);
     }
 
     fn probe(&self, server: ServerId) {
-        let place = self.0.core.borrow_mut().servers.get_mut(&server).map(Server::enter);
+        let place = self.0.core.borrow_mut().fleet.enter(server);
         let (driver, sent) = (self.clone(), Instant::now());
         tokio::task::spawn_local(async move {
             let ended = match place {
@@ -449,101 +271,17 @@
 
     // ---- the list -----------------------------------------------------------------------------------
 
-    /// Discovery has answered.
+    /// A source has told something.
     pub fn listed(&self, reply: ListReply) {
-        let lines = self.take_list(reply.all, reply.targets);
+        let lines = self.0.core.borrow_mut().fleet.take_list(reply.all, &reply.targets, self.pool());
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
     }
 
-    /// A call to discovery has failed.
+    /// A call to a source has failed.
     pub fn list_failed(&self) {
         self.tell(Event::List(ListUpdate::Failed));
     }
-
-    /// Takes over addresses and states; returns the lines in the module's terms.
-    fn take_list(&self, all: bool, targets: Vec<Target>) -> Vec<Listed> {
-        let core = &mut *self.0.core.borrow_mut();
-        let mut named = Vec::new();
-        let lines = targets.into_iter().map(|target| {
-            let line = core.take_target(&target, self.pool());
-            named.push(line.server);
-            line
-        });
-        let lines: Vec<Listed> = lines.collect();
-        if all {
-            for (id, server) in &mut core.servers {
-                if !named.contains(id) {
-                    server.turn_off(self.pool());
-                    server.gone = true;
-                }
-            }
-        }
-        lines
-    }
-}
-
-impl Server {
-    fn turn_off(&mut self, pool: &Pool) {
-        self.serving = false;
-        self.off_since.get_or_insert_with(Instant::now);
-        pool.close_idle(self.place.server);
-    }
-
-    /// One more attempt or probe is out.
-    fn enter(&mut self) -> Place {
-        self.out += 1;
-        self.place
-    }
-}
-
-impl Core {
-    /// Drops the servers that have left for good: the grace is over, and nothing is out to them. Backends that are
-    /// replaced under ever new names would fill the memory.
-    fn forget_servers(&mut self, after: Duration) {
-        let before = self.servers.len();
-        self.servers.retain(|_, s| {
-            !(s.gone && s.out == 0 && s.off_since.is_some_and(|since| since.elapsed() >= after))
-        });
-        if self.servers.len() < before {
-            self.ids.retain(|_, id| self.servers.contains_key(id));
-        }
-    }
-
-    fn take_target(&mut self, target: &Target, pool: &Pool) -> Listed {
-        let started = (target.boot_ms > 0.0).then(|| Time::from_ms(target.boot_ms));
-        let next = ServerId(self.next_server);
-        let id = *self.ids.entry(target.uid.clone()).or_insert(next);
-        self.next_server += u32::from(id == next);
-        let server = self.servers.entry(id).or_insert_with(|| {
-            let place = Place { server: id, address: target.endpoint, life: 0 };
-            Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
-        });
-        if server.place.address != target.endpoint || server.started != started {
-            // Another process: connections to the one before lead nowhere.
-            server.place = Place { address: target.endpoint, life: server.place.life + 1, ..server.place };
-            server.started = started;
-            pool.close_idle(id);
-        }
-        server.gone = target.state == State::Deleted;
-        match target.state {
-            State::Serving => (server.serving, server.off_since) = (true, None),
-            State::Draining | State::Deleted => server.turn_off(pool),
-        }
-        Listed {
-            server: id,
-            zone: ZoneId(self.zones.of(&target.az)),
-            kind: KindId(self.kinds.of(&target.model)),
-            cell: CellId(target.pod_group),
-            status: match target.state {
-                State::Serving => Status::Serving,
-                State::Draining => Status::Draining,
-                State::Deleted => Status::Gone,
-            },
-            weight: target.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
-            started,
-        }
-    }
 }
 
 #[cfg(test)]
@@ -551,6 +289,7 @@
     use super::*;
     use crate::budget::Budget;
     use hyper::{HeaderMap, Method, Uri};
+    use std::collections::HashSet;
     use std::net::SocketAddr;
     use tokio::net::TcpListener;
     use tokio::task::{yield_now, LocalSet};
@@ -596,8 +335,8 @@
             let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
             driver.perform(vec![cancel, Action::Fail { request: id }]);
             assert!(matches!(answer.await, Ok(Answer::Failed)));
-            assert!(driver.0.core.borrow().open.contains_key(&id), "its outcome has not been told");
-            while driver.0.core.borrow().open.contains_key(&id) {
+            assert!(driver.0.core.borrow().requests.is_open(id), "its outcome has not been told");
+            while driver.0.core.borrow().requests.is_open(id) {
                 yield_now().await;
             }
         };
@@ -617,7 +356,7 @@
             ]);
             assert!(matches!(answer.await, Ok(Answer::Failed)));
             driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
-            while driver.0.core.borrow().open.contains_key(&id) {
+            while driver.0.core.borrow().requests.is_open(id) {
                 yield_now().await;
             }
         };
@@ -639,11 +378,12 @@
                 );
                 driver.listed(serde_json::from_str(&list).unwrap());
                 tokio::time::advance(Duration::from_secs(1)).await;
-                let mut core = driver.0.core.borrow_mut();
-                core.forget_servers(driver.0.drain_grace + FORGET_AFTER);
-                assert!(core.servers.len() <= 4, "{} are kept", core.servers.len());
-                assert_eq!(core.ids.len(), core.servers.len());
-                assert!(numbers.insert(core.ids[&format!("s{n}")]), "a number is given twice");
+                let fleet = &mut driver.0.core.borrow_mut().fleet;
+                fleet.forget_left();
+                let (ids, records) = fleet.known();
+                assert!(records <= 4, "{records} are kept");
+                assert_eq!(ids.len(), records);
+                assert!(numbers.insert(ids[&format!("s{n}")]), "a number is given twice");
             }
         };
         local.run_until(test).await;
--- /dev/null
+++ b/agent/src/fleet.rs
@@ -0,0 +1,173 @@
+//! The servers by their numbers: where each is, which of its lives this is, and since when nothing new may go there.
+
+use crate::list::{State, Target};
+use crate::upstream::pool::{Place, Pool};
+use ryelead::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A server that drains or is gone is sent nothing from this on before the grace is over.
+const DRAIN_RESERVE: Duration = Duration::from_millis(100);
+/// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
+const FORGET_AFTER: Duration = Duration::from_secs(1);
+/// Names of zones or kinds that the settings don't hold are few; past this they share one number.
+const NAMES_MOST: u32 = 1000;
+
+struct Server {
+    place: Place,
+    serving: bool,
+    /// It has left, and is not only draining.
+    gone: bool,
+    /// When it was first told to drain or to be gone.
+    off_since: Option<Instant>,
+    started: Option<Time>,
+    /// Attempts and probes that are out to it.
+    out: usize,
+}
+
+/// Numbers for names, in the order in which they are met; the settings' names come first.
+struct Numbers(HashMap<String, u32>);
+
+impl Numbers {
+    fn new(names: &[String]) -> Self {
+        Numbers(names.iter().zip(0..).map(|(n, i)| (n.clone(), i)).collect())
+    }
+
+    fn of(&mut self, name: &str) -> u32 {
+        let next = self.0.len() as u32;
+        if next > NAMES_MOST && !self.0.contains_key(name) {
+            return next;
+        }
+        *self.0.entry(name.to_string()).or_insert(next)
+    }
+}
+
+/// All servers that the list has named and that have not left for good.
+pub struct Fleet {
+    servers: HashMap<ServerId, Server>,
+    ids: HashMap<String, ServerId>,
+    /// No number is given twice, so that nothing of a server that has left falls to another.
+    next_server: u32,
+    zones: Numbers,
+    kinds: Numbers,
+    drain_grace: Duration,
+}
+
+impl Fleet {
+    /// Nobody yet; the names of zones and kinds are the settings'.
+    pub fn new(zones: &[String], kinds: &[String], drain_grace: Duration) -> Self {
+        let (zones, kinds) = (Numbers::new(zones), Numbers::new(kinds));
+        Fleet { servers: HashMap::new(), ids: HashMap::new(), next_server: 0, zones, kinds, drain_grace }
+    }
+
+    /// True if there is a server to send to.
+    pub fn is_serving(&self) -> bool {
+        self.servers.values().any(|s| s.serving)
+    }
+
+    /// One more attempt or probe is out to a server; where that is, if it is known.
+    pub fn enter(&mut self, server: ServerId) -> Option<Place> {
+        self.servers.get_mut(&server).map(|server| {
+            server.out += 1;
+            server.place
+        })
+    }
+
+    /// It is no longer out.
+    pub fn leave(&mut self, server: ServerId) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.out -= 1;
+        }
+    }
+
+    /// True if something new may still go to a server.
+    pub fn may_send(&self, server: ServerId) -> bool {
+        let in_time = |since: Instant| since.elapsed() + DRAIN_RESERVE < self.drain_grace;
+        self.servers.get(&server).is_some_and(|s| s.off_since.is_none_or(in_time))
+    }
+
+    /// True if a connection to this life of a server may be kept.
+    pub fn is_current(&self, server: ServerId, life: u64) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
+    }
+
+    /// Takes over addresses and states; returns the lines in the module's terms.
+    pub fn take_list(&mut self, all: bool, targets: &[Target], pool: &Pool) -> Vec<Listed> {
+        let lines: Vec<Listed> = targets.iter().map(|target| self.take_target(target, pool)).collect();
+        if all {
+            let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
+            for (id, server) in &mut self.servers {
+                if !named.contains(id) {
+                    server.turn_off(pool);
+                    server.gone = true;
+                }
+            }
+        }
+        lines
+    }
+
+    /// Drops the servers that have left for good: the grace is over, and nothing is out to them. Backends that are
+    /// replaced under ever new names would fill the memory.
+    pub fn forget_left(&mut self) {
+        let after = self.drain_grace + FORGET_AFTER;
+        let before = self.servers.len();
+        self.servers.retain(|_, s| {
+            !(s.gone && s.out == 0 && s.off_since.is_some_and(|since| since.elapsed() >= after))
+        });
+        if self.servers.len() < before {
+            self.ids.retain(|_, id| self.servers.contains_key(id));
+        }
+    }
+
+    fn take_target(&mut self, target: &Target, pool: &Pool) -> Listed {
+        let started = (target.boot_ms > 0.0).then(|| Time::from_ms(target.boot_ms));
+        let next = ServerId(self.next_server);
+        let id = *self.ids.entry(target.uid.clone()).or_insert(next);
+        self.next_server += u32::from(id == next);
+        let server = self.servers.entry(id).or_insert_with(|| {
+            let place = Place { server: id, address: target.endpoint, life: 0 };
+            Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
+        });
+        if server.place.address != target.endpoint || server.started != started {
+            // Another process: connections to the one before lead nowhere.
+            server.place = Place { address: target.endpoint, life: server.place.life + 1, ..server.place };
+            server.started = started;
+            pool.close_idle(id);
+        }
+        server.gone = target.state == State::Deleted;
+        match target.state {
+            State::Serving => (server.serving, server.off_since) = (true, None),
+            State::Draining | State::Deleted => server.turn_off(pool),
+        }
+        Listed {
+            server: id,
+            zone: ZoneId(self.zones.of(&target.az)),
+            kind: KindId(self.kinds.of(&target.model)),
+            cell: CellId(target.pod_group),
+            status: match target.state {
+                State::Serving => Status::Serving,
+                State::Draining => Status::Draining,
+                State::Deleted => Status::Gone,
+            },
+            weight: target.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
+            started,
+        }
+    }
+}
+
+impl Server {
+    fn turn_off(&mut self, pool: &Pool) {
+        self.serving = false;
+        self.off_since.get_or_insert_with(Instant::now);
+        pool.close_idle(self.place.server);
+    }
+}
+
+#[cfg(test)]
+impl Fleet {
+    /// The numbers of the servers that are known, and how many records there are of them.
+    pub fn known(&self) -> (&HashMap<String, ServerId>, usize) {
+        (&self.ids, self.servers.len())
+    }
+}
--- a/agent/src/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -1,9 +1,9 @@
 //! Reads a client's request and checks all that can be wrong with it, before anything is done for it.
 
-use crate::backend::{Call, BODY_MOST};
+use super::seats::Seat;
 use crate::budget::Budget;
-use crate::driver::Arrival;
-use crate::seats::Seat;
+use crate::requests::Arrival;
+use crate::upstream::backend::{Call, BODY_MOST};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
--- /dev/null
+++ b/agent/src/fronts/plain/mod.rs
@@ -0,0 +1,5 @@
+//! Plain requests over HTTP/1.1, as the platform's protocol words them.
+
+pub mod intake;
+mod seats;
+pub mod server;
--- a/agent/src/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -1,9 +1,10 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
-use crate::driver::{Answer, Driver};
-use crate::intake::{check_end, Catalogue, Taken};
+use super::intake::{check_end, Catalogue, Taken};
+use super::seats::{End, Seat, Seats};
+use crate::driver::Driver;
 use crate::log::log;
-use crate::seats::{End, Seat, Seats};
+use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,48 +1,46 @@
-//! The real agent: the decisions of `ryelead` on real sockets. Started with `LB_CONFIG` in the environment.
+//! The program: a command line round [`dilljunction_agent`].
 
-mod backend;
-mod budget;
-mod config;
-mod discovery;
-mod driver;
-mod head;
-mod intake;
-mod log;
-mod pool;
-mod rest;
-mod seats;
-mod server;
-mod wire;
-
-use backend::Backends;
-use budget::Budget;
-use config::Config;
-use discovery::Commands;
-use driver::Driver;
-use intake::{Catalogue, Class};
-use log::log;
-use pool::Pool;
-use ryelead::{Discovery, ReportSource, Settings, Span};
-use server::Server;
+use clap::{Parser, Subcommand};
+use dilljunction_agent::{log, Agent, Config, Switches};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout, Instant};
 
-/// After SIGTERM new connections go on coming for a while, and are served.
-const ACCEPT_ON: Duration = Duration::from_millis(500);
-/// Once nothing is owed, connections that have not been used yet are given this long.
-const LINGER: Duration = Duration::from_millis(400);
-/// The end, counted from SIGTERM over the longest deadline.
-const STOP_SLACK: Duration = Duration::from_millis(300);
+/// A load balancer beside its client: it decides which server gets a request, whether it is tried again, and when it is
+/// refused.
+///
+/// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON), and LB_LISTEN and
+/// LB_DISCOVERY overrule two of its keys. SIGTERM ends it gently; SIGHUP moves it to where the configuration names
+/// discovery now.
+#[derive(Parser)]
+#[command(name = "dilljunction", version, args_conflicts_with_subcommands = true)]
+struct Arguments {
+    /// Switch on what a file under deploy/ names (TOML); may be repeated
+    #[arg(long = "with", value_name = "FILE")]
+    with: Vec<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Task>,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Say whether configurations are usable: *.toml as a file for --with, any other as LB_CONFIG names it
+    Check {
+        /// The files; those for --with are also checked together
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+}
 
 fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Some(Task::Check { files }) = arguments.command {
+        return check(&files);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let end = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run()),
+        Ok(runtime) => LocalSet::new().block_on(&runtime, run(&arguments.with)),
         Err(e) => Err(format!("cannot start the runtime: {e}")),
     };
     match end {
@@ -54,80 +52,68 @@
     }
 }
 
-fn length(span: Span) -> Duration {
-    Duration::from_micros(span.0)
+fn check(files: &[PathBuf]) -> ExitCode {
+    let mut usable = true;
+    let is_switch = |file: &Path| file.extension().is_some_and(|e| e == "toml");
+    let mut all = Switches::default();
+    for file in files {
+        let found = if is_switch(file) {
+            Switches::read(file).and_then(|one| all.clone().with(one).map_err(|fault| fault.in_file(file)))
+        } else {
+            Ok(all.clone())
+        };
+        let found = found.and_then(|switches| {
+            all = switches;
+            if is_switch(file) {
+                Ok(())
+            } else {
+                Config::read(file, Switches::default()).map(drop)
+            }
+        });
+        match found {
+            Ok(()) => println!("{}: usable", file.display()),
+            Err(fault) => {
+                usable = false;
+                eprintln!("{fault}");
+            }
+        }
+    }
+    // What is usable alone may still not fit together, such as more connections than descriptors.
+    for file in files.iter().filter(|file| !is_switch(file)) {
+        if let Some(fault) = usable.then(|| Config::read(file, all.clone()).err()).flatten() {
+            usable = false;
+            eprintln!("{fault}");
+        }
+    }
+    if usable {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
 }
 
 /// Moves to where the configuration names discovery, at each signal.
-async fn reload(mut hangup: Signal, commands: Rc<Commands>) {
+async fn reload(mut hangup: Signal, move_to: impl Fn(std::net::SocketAddr)) {
     while hangup.recv().await.is_some() {
         match Config::reread_discovery() {
-            Ok(source) if commands.move_to(source) => log(&format!("discovery is at {source} now")),
-            Ok(_) => {}
+            Ok(source) => move_to(source),
             Err(fault) => log(&format!("the configuration stays as it was: {fault}")),
         }
     }
 }
 
-async fn run() -> Result<(), String> {
+async fn run(with: &[PathBuf]) -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let config = Config::from_env()?;
-    let file = &config.settings;
-    // The protocol lets every refusal say when to come back.
-    let settings = Settings { retry_after: true, ..file.settings() };
-    let classes = file.class_names().into_iter().zip(&settings.classes);
-    let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
-    let classes = classes.collect();
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    let pushed = settings.discovery == Discovery::Pushed;
-    let bodies = Budget::new(config.body_bytes);
-    let pool = Pool::new(
-        config.backend_connections,
-        length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
-        length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
-    );
-    let backends = Backends::new(
-        pool,
-        Rc::clone(&bodies),
-        file.report_names().to_vec(),
-        settings.report_source != ReportSource::None,
-    );
-    let commands = Commands::new(config.discovery);
-    let names = (file.zone_names(), file.kind_names());
-    let version = config.known.as_ref().map_or(0, |list| list.rev);
-    let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
-    spawn_local(driver.clone().run());
-    spawn_local(reload(hangup, Rc::clone(&commands)));
-    spawn_local(discovery::run(driver.clone(), commands, version, pushed));
-
-    let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-    let server = Server::new(driver, catalogue, config.client_connections, config.client_crowd);
-    spawn_local(Rc::clone(&server).sweep());
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    log(&format!("listening on {address}"));
-    tokio::select! {
-        () = server.accept(&listener) => {}
-        _ = term.recv() => {}
-    }
-
-    // Clients go on coming until they have noticed; what they send is served to the end.
-    let stop = Instant::now();
-    server.begin_stop();
-    let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
-    drop(listener);
-    server.close_all();
-    let quiet_from = stop + ACCEPT_ON + LINGER;
-    let last = stop + length(longest) + STOP_SLACK;
-    while server.connections() > 0 && Instant::now() < last {
-        if server.owed() == 0 && Instant::now() >= quiet_from {
-            break;
-        }
-        sleep(Duration::from_millis(5)).await;
-    }
+    let switches = Switches::read_all(with).map_err(|fault| fault.to_string())?;
+    let config = Config::from_env(switches).map_err(|fault| fault.to_string())?;
+    let agent = Agent::start(config).await?;
+    spawn_local(reload(hangup, agent.mover()));
+    log(&format!("listening on {}", agent.address()));
+    let stop = async {
+        let _ = term.recv().await;
+    };
+    agent.serve(stop).await;
     Ok(())
 }
--- a/agent/src/discovery.rs
+++ b/agent/src/sources/platform.rs
@@ -1,20 +1,18 @@
-//! Asks discovery for the list of backends: a watch on changes, and the whole list once.
+//! Asks the platform's discovery for the list of backends: a watch on changes, and the whole list once.
 
 use crate::driver::Driver;
+use crate::list::{Commands, ListReply};
 use crate::wire::{Gauge, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use serde::de::IgnoredAny;
-use serde::{Deserialize, Deserializer};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -37,104 +35,6 @@
 /// Pause before a pushed list is asked for again; the source is on the same machine.
 const PUSHED_PAUSE: Duration = Duration::from_millis(500);
 
-/// A list or a change of it, in discovery's form.
-#[derive(Debug, Clone, Deserialize)]
-pub struct ListReply {
-    /// Its version.
-    pub rev: i64,
-    /// Whether this is the whole list.
-    #[serde(default)]
-    pub all: bool,
-    /// Its lines.
-    #[serde(deserialize_with = "readable")]
-    pub targets: Vec<Target>,
-}
-
-/// The lines that can be read: one that can't must not make the agent deaf to all others.
-fn readable<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<Target>, D::Error> {
-    #[derive(Deserialize)]
-    #[serde(untagged)]
-    enum Line {
-        Read(Target),
-        Other(IgnoredAny),
-    }
-    let lines = Vec::<Line>::deserialize(input)?.into_iter();
-    Ok(lines
-        .filter_map(|line| match line {
-            Line::Read(target) => Some(target),
-            Line::Other(_) => None,
-        })
-        .collect())
-}
-
-/// A line of the list.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Target {
-    /// The server's name at all agents.
-    pub uid: String,
-    /// Where this agent reaches it.
-    pub endpoint: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub az: String,
-    /// Its kind.
-    #[serde(default)]
-    pub model: String,
-    /// Its cell.
-    #[serde(default)]
-    pub pod_group: u32,
-    /// What it does at present.
-    pub state: State,
-    /// Its size among the others.
-    #[serde(default)]
-    pub capacity_hint: Option<f64>,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub boot_ms: f64,
-}
-
-/// The states of a backend.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum State {
-    /// Takes requests.
-    Serving,
-    /// Finishes what it has.
-    Draining,
-    /// Has left.
-    Deleted,
-}
-
-/// How the driver and the operators tell discovery what they want.
-pub struct Commands {
-    following: watch::Sender<bool>,
-    fetch: Notify,
-    source: watch::Sender<SocketAddr>,
-}
-
-impl Commands {
-    /// Neither watching nor asking.
-    pub fn new(source: SocketAddr) -> Rc<Self> {
-        let (following, source) = (watch::Sender::new(false), watch::Sender::new(source));
-        Rc::new(Commands { following, fetch: Notify::new(), source })
-    }
-
-    /// Starts or ends the watch.
-    pub fn follow(&self, active: bool) {
-        self.following.send_replace(active);
-    }
-
-    /// Asks for the whole list once.
-    pub fn fetch(&self) {
-        self.fetch.notify_one();
-    }
-
-    /// Discovery listens elsewhere from now on; true if that is news.
-    pub fn move_to(&self, source: SocketAddr) -> bool {
-        self.source.send_if_modified(|old| std::mem::replace(old, source) != source)
-    }
-}
-
 /// A kept connection to discovery; it is closed when this is dropped.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -181,7 +81,7 @@
 /// Asks discovery wherever it is for as long as the agent lives. `known` is the version of the list that the agent
 /// started with; `pushed`: the list is sent by itself.
 pub async fn run(driver: Driver, commands: Rc<Commands>, known: i64, pushed: bool) {
-    let mut source = commands.source.subscribe();
+    let mut source = commands.source();
     if pushed {
         commands.follow(true);
     }
@@ -218,7 +118,7 @@
     /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
     /// all times, and a failure is no news to the module, which has asked for nothing.
     async fn watch(&self, pushed: bool) {
-        let mut following = self.commands.following.subscribe();
+        let mut following = self.commands.following();
         let mut line = None;
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
@@ -260,7 +160,7 @@
     /// Fetches the whole list whenever the module asks for it.
     async fn fetch(&self) {
         loop {
-            self.commands.fetch.notified().await;
+            self.commands.fetch_wanted().await;
             match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
                 Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
                 // The watch has brought something newer meanwhile.
--- /dev/null
+++ b/agent/src/switches.rs
@@ -0,0 +1,141 @@
+//! Our own files under `deploy/`, named by `--with FILE`: each switches on what the platform does not need. What no file
+//! names stays off and costs nothing.
+
+use crate::fault::Fault;
+use serde::Deserialize;
+use std::path::Path;
+
+/// The largest file that is read, in bytes: a list of 10,000 servers in the platform's configuration fits many times.
+const FILE_MOST: u64 = 16 * 1024 * 1024;
+/// The most connections of either side that can be asked for: more than one process can hold descriptors.
+const CONNECTIONS_MOST: usize = 1_000_000;
+/// The most memory for bodies that can be asked for, in MB.
+const MEMORY_MOST: u32 = 1024 * 1024;
+
+/// What the files switch on.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Switches {
+    /// `[limits]`, see `deploy/limits.toml`.
+    pub limits: Option<LimitsTable>,
+}
+
+/// What an installation with room of its own allows the agent, in place of the shares that are reckoned from the
+/// platform's limits.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitsTable {
+    /// Most connections of clients held at once, 8 to 1,000,000.
+    pub client_connections: Option<usize>,
+    /// Most connections to servers held at once, 8 to 1,000,000.
+    pub server_connections: Option<usize>,
+    /// Most memory that the bodies of requests and answers hold at once, in MB, 1 to 1,048,576.
+    pub body_memory_mb: Option<u32>,
+}
+
+impl Switches {
+    /// Reads one file; an unknown key or a bad value is a fault that names file, key and reason.
+    pub fn read(path: &Path) -> Result<Switches, Fault> {
+        let text = read_bounded(path).map_err(|fault| fault.in_file(path))?;
+        let text = String::from_utf8(text).map_err(|_| Fault::of_all("is not UTF-8 text").in_file(path))?;
+        Switches::parse(&text).map_err(|fault| fault.in_file(path))
+    }
+
+    /// Reads all files together.
+    pub fn read_all<P: AsRef<Path>>(paths: &[P]) -> Result<Switches, Fault> {
+        paths.iter().try_fold(Switches::default(), |all, path| {
+            all.with(Switches::read(path.as_ref())?).map_err(|fault| fault.in_file(path.as_ref()))
+        })
+    }
+
+    /// Reads the text of one file.
+    pub fn parse(text: &str) -> Result<Switches, Fault> {
+        let document = toml::Deserializer::parse(text)
+            .map_err(|e| Fault::of_all(format!("is not TOML: {}", e.message())))?;
+        let switches: Switches = serde_path_to_error::deserialize(document)
+            .map_err(|e| Fault::at_path(e.path(), &e.inner().message()))?;
+        switches.check()?;
+        Ok(switches)
+    }
+
+    /// These and the ones of another file; a table that stands in both is a fault, since one would silently win.
+    pub fn with(self, other: Switches) -> Result<Switches, Fault> {
+        if self.limits.is_some() && other.limits.is_some() {
+            return Err(Fault::of_key("limits", "this table stands in an earlier file too"));
+        }
+        Ok(Switches { limits: self.limits.or(other.limits) })
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        let Some(limits) = &self.limits else { return Ok(()) };
+        let connections = [
+            ("client_connections", limits.client_connections),
+            ("server_connections", limits.server_connections),
+        ];
+        for (key, value) in connections {
+            if value.is_some_and(|n| !(8..=CONNECTIONS_MOST).contains(&n)) {
+                return Err(Fault::of_key(
+                    format!("limits.{key}"),
+                    format!("must lie between 8 and {CONNECTIONS_MOST}"),
+                ));
+            }
+        }
+        if limits.body_memory_mb.is_some_and(|mb| !(1..=MEMORY_MOST).contains(&mb)) {
+            return Err(Fault::of_key(
+                "limits.body_memory_mb",
+                format!("must lie between 1 and {MEMORY_MOST} (MB)"),
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// The bytes of a file of ours, which no mistake in a path may make endless.
+pub(crate) fn read_bounded(path: &Path) -> Result<Vec<u8>, Fault> {
+    use std::io::Read;
+    let unreadable = |e: std::io::Error| Fault::of_all(format!("cannot be read: {e}"));
+    let file = std::fs::File::open(path).map_err(unreadable)?;
+    let mut text = Vec::new();
+    file.take(FILE_MOST + 1).read_to_end(&mut text).map_err(unreadable)?;
+    if text.len() as u64 > FILE_MOST {
+        return Err(Fault::of_all(format!("is larger than {FILE_MOST} bytes")));
+    }
+    Ok(text)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_shipped_files_are_usable() {
+        let shipped = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/limits.toml");
+        assert!(Switches::read(&shipped).expect("usable").limits.is_some());
+        assert_eq!(Switches::parse("").expect("usable"), Switches::default());
+    }
+
+    #[test]
+    fn a_fault_names_its_key_and_its_reason_on_one_line() {
+        for (text, key, reason) in [
+            ("[limits]\nclients = 3", "limits.clients", "unknown field"),
+            ("[limits]\nclient_connections = \"many\"", "limits.client_connections", "invalid type"),
+            ("[limits]\nclient_connections = 7", "limits.client_connections", "between 8 and"),
+            ("[limits]\nserver_connections = -1", "limits.server_connections", "invalid value"),
+            ("[limits]\nbody_memory_mb = 0", "limits.body_memory_mb", "between 1 and"),
+            ("[limit]", "limit", "unknown field"),
+            ("[limits", "", "not TOML"),
+        ] {
+            let fault = Switches::parse(text).expect_err(text).in_file("deploy/x.toml").to_string();
+            let expected = if key.is_empty() { String::new() } else { format!("{key}: ") };
+            assert!(fault.starts_with(&format!("deploy/x.toml: {expected}")), "{text}: {fault}");
+            assert!(fault.contains(reason) && fault.lines().count() == 1, "{text}: {fault}");
+        }
+    }
+
+    #[test]
+    fn a_table_in_two_files_is_a_fault() {
+        let one = Switches::parse("[limits]\nclient_connections = 9").expect("usable");
+        assert!(one.clone().with(one.clone()).is_err());
+        assert_eq!(one.clone().with(Switches::default()).expect("usable"), one);
+    }
+}
--- a/agent/src/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -1,7 +1,7 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
+use super::pool::{Lease, Place, Pool};
 use crate::budget::{Budget, Portion};
-use crate::pool::{Lease, Place, Pool};
 use crate::wire::View;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
--- /dev/null
+++ b/agent/src/upstream/mod.rs
@@ -0,0 +1,5 @@
+//! The servers' side: attempts and probes, and the connections that they go on.
+
+pub mod backend;
+pub mod pool;
+mod rest;
--- a/agent/src/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -1,6 +1,6 @@
 //! The connections to backends: at work, idle, or not there yet.
 
-use crate::rest::Rest;
+use super::rest::Rest;
 use crate::wire::{Gauge, View, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -293,8 +293,13 @@
 
 impl Agent {
     pub fn start(config: &str) -> Agent {
+        Agent::start_with(config, &[])
+    }
+
+    /// With these arguments on its command line.
+    pub fn start_with(config: &str, arguments: &[&str]) -> Agent {
         let config = config_file(config);
-        Agent::watch(command(&config).spawn().unwrap(), config)
+        Agent::watch(command(&config).args(arguments).spawn().unwrap(), config)
     }
 
     /// An agent with one backend and a configuration that allows so many descriptors.
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! The agent's own program between scripted peers on loopback.
 
+mod cli;
 mod clients;
 mod common;
 mod limits;
