Lab: command line, live view and report; a silent link is not an agent's silence

Ruled out: the module's own holding (it ends what it holds before the wanted time is over). Also: run, up, standin, worlds; the live view; one self-contained page.

--- a/lab/src/evidence.rs
+++ b/lab/src/evidence.rs
@@ -210,6 +210,15 @@
     pub to: At,
 }
 
+/// A time in which links said nothing: what is stuck in one looks over at its server, and is still out for its agent.
+#[derive(Debug, Clone, Copy)]
+pub struct Silence {
+    /// From when.
+    pub from: At,
+    /// Until when.
+    pub to: At,
+}
+
 /// Everything that was written down.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -227,6 +236,8 @@
     pub strays: Vec<Stray>,
     /// Agents that were killed.
     pub outages: Vec<Outage>,
+    /// Links that said nothing.
+    pub silences: Vec<Silence>,
     /// How late the lab itself was at worst: what it should have done at a moment, it did this much later.
     pub lag_most: Duration,
     /// And how late 99 of 100 times.
@@ -282,6 +293,9 @@
             [&mut t.sent, &mut t.resent].into_iter().for_each(maybe);
         }
         self.strays.iter_mut().for_each(|s| shift(&mut s.at));
+        self.silences.iter_mut().for_each(|s| {
+            [&mut s.from, &mut s.to].into_iter().for_each(shift);
+        });
         self.outages.iter_mut().for_each(|o| {
             [&mut o.from, &mut o.to].into_iter().for_each(shift);
         });
--- /dev/null
+++ b/lab/src/live.rs
@@ -0,0 +1,164 @@
+//! What people see while a world runs: a picture that is drawn anew on a terminal, plain lines elsewhere.
+
+use crate::run::{Frame, Outcome};
+use crate::service::QUANTILES;
+use crate::world::World;
+use std::fmt::Write as _;
+use std::io::{IsTerminal, Write};
+
+/// Servers and agents that are shown one by one.
+const SHOWN_MOST: usize = 24;
+
+/// Shows frames on standard output.
+pub struct Live {
+    terminal: bool,
+    drawn: usize,
+    last: f64,
+}
+
+impl Default for Live {
+    fn default() -> Self {
+        Live { terminal: std::io::stdout().is_terminal(), drawn: 0, last: -1.0 }
+    }
+}
+
+impl Live {
+    /// Shows the world at a moment.
+    pub fn show(&mut self, world: &World, frame: &Frame) {
+        let text = if self.terminal { picture(world, frame) } else { line(world, frame) };
+        // Plain lines once a second are enough.
+        if !self.terminal && frame.at - self.last < 0.95 {
+            return;
+        }
+        self.last = frame.at;
+        let mut out = String::new();
+        if self.terminal && self.drawn > 0 {
+            let _ = write!(out, "\x1b[{}A\x1b[J", self.drawn);
+        }
+        self.drawn = text.lines().count();
+        out.push_str(&text);
+        let mut stdout = std::io::stdout().lock();
+        let _ = stdout.write_all(out.as_bytes());
+        let _ = stdout.flush();
+    }
+}
+
+fn counts(frame: &Frame) -> String {
+    let part = |name| frame.counts.get(name).copied().unwrap_or(0);
+    let [served, refused, failed, lost] = ["served", "refused", "failed", "lost"].map(part);
+    format!("served {served}, refused {refused}, failed {failed}, lost {lost}, under way {}", frame.under_way)
+}
+
+fn faults(frame: &Frame) -> String {
+    if frame.faults.is_empty() {
+        "-".into()
+    } else {
+        frame.faults.join("; ")
+    }
+}
+
+fn line(world: &World, frame: &Frame) -> String {
+    let up = frame.servers.iter().filter(|s| s.up).count();
+    format!(
+        "{:5.1} s of {:.0}: {}; servers up {up}/{}; fault: {}\n",
+        frame.at,
+        world.seconds,
+        counts(frame),
+        frame.servers.len(),
+        faults(frame)
+    )
+}
+
+fn picture(world: &World, frame: &Frame) -> String {
+    let mut text = String::new();
+    let _ = writeln!(text, "{} - {:.1} s of {:.0}", world.name, frame.at, world.seconds);
+    let _ = writeln!(text, "  {}", counts(frame));
+    let _ = writeln!(text, "  fault: {}", faults(frame));
+    let names = world.servers();
+    for ((name, _), look) in names.iter().zip(&frame.servers).take(SHOWN_MOST) {
+        let state = match (look.up, look.warmth < 1.0, look.slow > 1.0) {
+            (false, ..) => "down".into(),
+            (_, true, _) => format!("cold, {:.0}% warm", look.warmth * 100.0),
+            (_, _, true) => format!("{:.1} times slower", look.slow),
+            _ => String::new(),
+        };
+        let bar: String = "#".repeat(look.running.min(20)) + &"+".repeat(look.waiting.min(20));
+        let _ = writeln!(text, "  {name:18} {:4} conns  {bar:<24} {state}", look.connections);
+    }
+    if names.len() > SHOWN_MOST {
+        let _ = writeln!(text, "  and {} servers more", names.len() - SHOWN_MOST);
+    }
+    for (n, usage) in frame.agents.iter().enumerate().take(SHOWN_MOST / 4) {
+        if let Some(usage) = usage {
+            let mib = usage.rss_kib as f64 / 1024.0;
+            let _ = writeln!(
+                text,
+                "  agent-{n:<12} {:4} files  {mib:5.1} MiB  {} ms of CPU",
+                usage.descriptors, usage.cpu_ms
+            );
+        }
+    }
+    text
+}
+
+/// The end of a run, in plain words.
+pub fn verdict(outcome: &Outcome) -> String {
+    let mut text = String::new();
+    let verdict = &outcome.verdict;
+    let (tries, attempts, lives) = verdict.looked_at;
+    let _ = writeln!(
+        text,
+        "\n{}: {tries} tries, {attempts} attempts, {lives} lives of servers looked at",
+        outcome.world.name
+    );
+    for rule in crate::checker::Rule::ALL {
+        let count = verdict.count(rule);
+        let word = if count == 0 { "kept".into() } else { format!("BROKEN {count} times") };
+        let _ = writeln!(text, "  {:18} {word}", rule.name());
+    }
+    for breach in verdict.breaches.iter().take(10) {
+        let _ = writeln!(
+            text,
+            "    {}: {} at {:.3} s: {}",
+            breach.rule.name(),
+            breach.subject,
+            breach.at,
+            breach.evidence
+        );
+    }
+    for agent in &outcome.crashed {
+        let _ = writeln!(text, "  agent-{agent} has ended by itself");
+    }
+    if outcome.late {
+        let _ = writeln!(
+            text,
+            "  the lab itself ran late ({:.0} ms for one in a hundred, {:.0} ms at worst): no figures",
+            outcome.evidence.lag_p99.as_secs_f64() * 1e3,
+            outcome.evidence.lag_most.as_secs_f64() * 1e3
+        );
+        return text;
+    }
+    let service = &outcome.service;
+    let _ = writeln!(
+        text,
+        "  service {:.3} (worth in its wanted time over worth asked for)",
+        service.whole.share()
+    );
+    let share = |parts: &[(String, crate::service::Worth)]| {
+        parts
+            .iter()
+            .map(|(name, worth)| format!("{name} {:.3}", worth.share()))
+            .collect::<Vec<_>>()
+            .join(", ")
+    };
+    let _ = writeln!(text, "    by class:  {}", share(&service.classes));
+    let _ = writeln!(text, "    by office: {}", share(&service.offices));
+    let windows: Vec<String> = service.windows.iter().map(|w| format!("{:.3}", w.share())).collect();
+    let _ = writeln!(text, "    by 10 s:   {}", windows.join(", "));
+    for (name, latencies) in &service.latencies {
+        let figures = QUANTILES.iter().zip(latencies).map(|(q, ms)| format!("p{} {ms:.0}", q * 100.0));
+        let _ =
+            writeln!(text, "    {name}, ms from when it was due: {}", figures.collect::<Vec<_>>().join(", "));
+    }
+    text
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,224 @@
+//! `dilljunction-lab`: see agents work, and see what they do when something fails.
+
+use clap::{Args, Parser, Subcommand};
+use dilljunction_lab::agents::Subject;
+use dilljunction_lab::clock::Clock;
+use dilljunction_lab::evidence::Book;
+use dilljunction_lab::live::{verdict, Live};
+use dilljunction_lab::run::{run, Outcome, Stage};
+use dilljunction_lab::world::{World, SHIPPED};
+use dilljunction_lab::{report, standins};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
+
+/// A world for dilljunction on loopback: servers, lists, links and offices that fail on command, and a checker of the rules.
+///
+/// With no argument: builds the agent, runs a small world with one fault, shows it live, and ends with a verdict and a
+/// report (about 30 s). Exit status 0 only if every rule held and no agent crashed.
+#[derive(Parser)]
+#[command(name = "dilljunction-lab", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Task>,
+}
+
+#[derive(Subcommand)]
+enum Task {
+    /// Run a world with its offices, and judge it
+    Run {
+        /// A shipped world (see `worlds`) or a file
+        world: String,
+        #[command(flatten)]
+        size: Size,
+        #[command(flatten)]
+        agent: AgentChoice,
+        /// Where the report goes
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+        /// Write verdict and service as JSON as well
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Start a world without offices, print its names and addresses as one line of JSON, and stay until interrupted
+    Up {
+        /// A shipped world or a file
+        world: String,
+        #[command(flatten)]
+        size: Size,
+        #[command(flatten)]
+        agent: AgentChoice,
+    },
+    /// Start one stand-in alone, and stay until interrupted
+    Standin {
+        /// booking, discovery or link
+        name: standins::Name,
+        /// Where it listens
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// For link: where it leads; for discovery: the servers that it lists
+        #[arg(long, value_name = "ADDR")]
+        to: Vec<SocketAddr>,
+    },
+    /// List the worlds that come with the lab
+    Worlds,
+}
+
+#[derive(Args, Default)]
+struct Size {
+    /// Agents
+    #[arg(long)]
+    agents: Option<usize>,
+    /// Servers in each building
+    #[arg(long)]
+    servers: Option<usize>,
+    /// Requests a second of all offices
+    #[arg(long)]
+    rate: Option<f64>,
+    /// How long requests come, in seconds
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// For all random numbers
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Memory of each agent, in MB
+    #[arg(long)]
+    memory_mb: Option<u64>,
+    /// Descriptors of each agent
+    #[arg(long)]
+    sockets: Option<usize>,
+}
+
+#[derive(Args, Default)]
+struct AgentChoice {
+    /// The agent's program; by default it is built from this repository
+    #[arg(long, value_name = "PROGRAM")]
+    agent: Option<PathBuf>,
+    /// A file under deploy/ for every agent; may be repeated
+    #[arg(long = "with", value_name = "FILE")]
+    with: Vec<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let task = Arguments::parse().command;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let end = match runtime {
+        Ok(runtime) => runtime.block_on(async {
+            tokio::select! {
+                end = work(task) => end,
+                _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+            }
+        }),
+        Err(e) => Err(format!("cannot start the runtime: {e}")),
+    };
+    match end {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(fault) => {
+            eprintln!("dilljunction-lab: {fault}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn work(task: Option<Task>) -> Result<bool, String> {
+    match task {
+        None => play("tour", &Size::default(), &AgentChoice::default(), None, None).await,
+        Some(Task::Run { world, size, agent, report, json }) => {
+            play(&world, &size, &agent, report.as_deref(), json.as_deref()).await
+        }
+        Some(Task::Up { world, size, agent }) => {
+            let stage = Stage::set(sized(&world, &size)?, subject(&agent)?).await?;
+            println!("{}", stage.directory());
+            stage.stay().await;
+            Ok(true)
+        }
+        Some(Task::Standin { name, listen, to }) => {
+            standins::start(name, listen, &to, Clock::start(), Book::default()).await?;
+            std::future::pending().await
+        }
+        Some(Task::Worlds) => {
+            for (name, _) in SHIPPED {
+                let world = World::find(name)?;
+                println!("{name:15} {}", world.about);
+            }
+            Ok(true)
+        }
+    }
+}
+
+fn sized(name: &str, size: &Size) -> Result<World, String> {
+    let mut world = World::find(name)?;
+    if let Some(servers) = size.servers {
+        world.building.iter_mut().for_each(|b| b.servers = servers);
+    }
+    world.agents = size.agents.unwrap_or(world.agents);
+    world.rate = size.rate.unwrap_or(world.rate);
+    world.seconds = size.seconds.unwrap_or(world.seconds);
+    world.seed = size.seed.unwrap_or(world.seed);
+    world.limits.memory_mb = size.memory_mb.unwrap_or(world.limits.memory_mb);
+    world.limits.sockets = size.sockets.unwrap_or(world.limits.sockets);
+    world.check().map_err(|(key, reason)| format!("{name}: {key}: {reason}"))?;
+    Ok(world)
+}
+
+/// The agent's program, built if none is named.
+fn subject(choice: &AgentChoice) -> Result<Subject, String> {
+    let mut arguments = Vec::new();
+    for file in &choice.with {
+        arguments.extend(["--with".to_string(), file.display().to_string()]);
+    }
+    if let Some(program) = &choice.agent {
+        return Ok(Subject::Program(program.clone(), arguments));
+    }
+    let here = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = here.parent().ok_or("the lab's own program has no folder")?;
+    let program = folder.join("dilljunction");
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    if root.join("Cargo.toml").exists() {
+        eprintln!("building the agent ...");
+        let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+        cargo.args(["build", "--quiet", "-p", "dilljunction"]).current_dir(&root);
+        cargo.arg("--target-dir").arg(folder.parent().unwrap_or(folder));
+        if folder.file_name().is_some_and(|name| name == "release") {
+            cargo.arg("--release");
+        }
+        let built = cargo.status().map_err(|e| format!("cannot run cargo: {e}"))?;
+        if !built.success() {
+            return Err("the agent does not build".into());
+        }
+    }
+    if !program.exists() {
+        return Err(format!("{}: no such program; name one with --agent", program.display()));
+    }
+    Ok(Subject::Program(program, arguments))
+}
+
+async fn play(
+    name: &str,
+    size: &Size,
+    agent: &AgentChoice,
+    page: Option<&Path>,
+    json: Option<&Path>,
+) -> Result<bool, String> {
+    let (world, subject) = (sized(name, size)?, subject(agent)?);
+    println!("{}: {}", world.name, world.about);
+    let mut live = Live::default();
+    let outcome = run(world, subject, |world, frame| live.show(world, frame)).await?;
+    print!("{}", verdict(&outcome));
+    let page =
+        page.map_or_else(|| PathBuf::from(format!("lab-{}.html", outcome.world.name)), Path::to_path_buf);
+    std::fs::write(&page, report::page(&outcome)?).map_err(|e| format!("{}: {e}", page.display()))?;
+    println!("  report: {}", page.display());
+    if let Some(json) = json {
+        std::fs::write(json, summary(&outcome)).map_err(|e| format!("{}: {e}", json.display()))?;
+    }
+    Ok(outcome.passed())
+}
+
+fn summary(outcome: &Outcome) -> String {
+    let usage = outcome.frames.last().map(|f| f.agents.clone());
+    serde_json::json!({"world": outcome.world.name, "seed": outcome.world.seed, "passed": outcome.passed(),
+        "late": outcome.late, "verdict": outcome.verdict, "service": outcome.service, "agents": usage})
+    .to_string()
+}
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -6,7 +6,7 @@
 use crate::checker::{judge, Rules, Verdict};
 use crate::clock::{At, Clock};
 use crate::discovery::{told_at_start, Ailment, Entry, Registry, View};
-use crate::evidence::{Book, Evidence, Outage, Word};
+use crate::evidence::{Book, Evidence, Outage, Silence, Word};
 use crate::link::{Links, Manner};
 use crate::office::{watch_lag, Office, Offices, Plan};
 use crate::service::{count, Service, Terms};
@@ -25,6 +25,8 @@
 pub const FRAME: Duration = Duration::from_millis(500);
 /// What is still on its way when the last client has its answer has come by then.
 const SETTLE: Duration = Duration::from_millis(400);
+/// After a link is whole again, what was stuck in it takes this long to come through.
+const HEAL: Duration = Duration::from_millis(300);
 /// Agents that are started at once.
 const STARTING_MOST: usize = 16;
 /// Beyond these the lab ran late, and gives no figure.
@@ -249,6 +251,13 @@
             "classes": classes})
     }
 
+    /// Lets the faults of the world happen, and stays for good.
+    pub async fn stay(mut self) {
+        let zero = self.clock.now();
+        self.begin_faults(zero, None);
+        std::future::pending().await
+    }
+
     /// Lets the faults happen, counted from `zero`.
     pub fn begin_faults(&mut self, zero: At, offices: Option<&Offices>) {
         let faults = self.world.fault.clone();
@@ -401,6 +410,11 @@
 
     async fn begin(&self, to: Option<At>) {
         let fault = &self.fault;
+        if matches!(fault.kind, Kind::Cut | Kind::HalfOpen | Kind::CutAfter | Kind::Line) {
+            let from = self.clock.now();
+            let to = to.map_or(At(u64::MAX), |to| to.plus(HEAL));
+            self.book.open().silences.push(Silence { from, to });
+        }
         let ms = |ms: Option<f64>| Duration::from_secs_f64(ms.unwrap_or(0.0) / 1e3);
         if let Some(booking) = &self.booking {
             match fault.kind {
