--- a/agent/tests/loopback/cli.rs
+++ b/agent/tests/loopback/cli.rs
@@ -1,10 +1,10 @@
 //! The command line: what it checks, what it refuses, and that a switch counts.
 
-use crate::common::*;
+use dilljunction_lab::hand::*;
 use std::process::{Command, Output};
 
 fn dilljunction(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_dilljunction"))
+    Command::new(program())
         .args(arguments)
         .env_remove("LB_CONFIG")
         .env_remove("LB_LISTEN")
--- a/agent/tests/loopback/clients.rs
+++ b/agent/tests/loopback/clients.rs
@@ -1,6 +1,6 @@
 //! Bad clients: each gets an error or a close, and none of what it sends reaches a backend.
 
-use crate::common::*;
+use dilljunction_lab::hand::*;
 
 /// What is sent gets this status, the connection is closed, and no backend hears of it.
 fn turned_away(what: &str, text: &str, status: u16) {
@@ -63,9 +63,9 @@
     first.write(&text);
     backend.heard.wait(1);
     assert_eq!(Client::to(&agent).ask(&text).status(), 409);
-    release.send(()).unwrap();
+    release.one();
     assert_eq!(first.read().map(|m| m.status()), Some(200));
-    release.send(()).unwrap();
+    release.one();
     assert_eq!(Client::to(&agent).ask(&text).status(), 200);
 }
 
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -1,6 +1,6 @@
 //! Discovery: what it tells is followed, and its failures are survived.
 
-use crate::common::*;
+use dilljunction_lab::hand::*;
 
 #[test]
 fn readiness_waits_for_a_list() {
@@ -105,7 +105,7 @@
     backend.heard.wait(1);
     discovery.change(target("s0", backend.address, "DRAINING", 0));
     discovery.asked.wait(3);
-    release.send(()).unwrap();
+    release.one();
     assert_eq!(client.read().map(|m| m.status()), Some(200));
     backend.ended.wait(1);
 }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -2,7 +2,6 @@
 
 mod cli;
 mod clients;
-mod common;
 mod limits;
 mod lists;
 mod outcomes;
--- a/agent/tests/loopback/outcomes.rs
+++ b/agent/tests/loopback/outcomes.rs
@@ -1,6 +1,8 @@
 //! Each row of the protocol's table of outcomes, and the one final answer.
 
-use crate::common::*;
+use dilljunction_lab::booking::Act;
+use dilljunction_lab::hand::*;
+use dilljunction_lab::http::Message;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -36,7 +38,7 @@
     let (agent, _discovery) = Agent::with(&[&backend]);
     let mut client = Client::to(&agent);
     let text = request("zoned", 9000);
-    let sent = Message::read(&mut text.as_bytes()).unwrap();
+    let sent = Message::of_text(&text);
     let answer = client.ask(&text);
     assert_eq!((answer.status(), answer.body.as_slice()), (200, "the answer\r\n\0".as_bytes()));
     let got = &backend.heard.all()[0];
--- a/agent/tests/loopback/reload.rs
+++ b/agent/tests/loopback/reload.rs
@@ -1,6 +1,6 @@
 //! SIGHUP: discovery is asked where the new configuration names it, and clients notice nothing.
 
-use crate::common::*;
+use dilljunction_lab::hand::*;
 
 fn with_source(source: &Discovery) -> String {
     config(source.address, "", SETTINGS, 1024)
--- a/agent/tests/loopback/spoilt.rs
+++ b/agent/tests/loopback/spoilt.rs
@@ -1,7 +1,9 @@
 //! Spoilt answers: a failed attempt that may have run, whose connection is closed and on which nothing waits.
 
-use crate::common::*;
 use crate::outcomes::outcome;
+use dilljunction_lab::booking::Act;
+use dilljunction_lab::hand::*;
+use dilljunction_lab::http::Message;
 
 const BODY: &str = "\r\n\r\nfirst";
 
@@ -62,7 +64,7 @@
     let mut client = Client::to(&agent);
     for n in 1..=20 {
         let text = request("once", 9000);
-        let sent = Message::read(&mut text.as_bytes()).unwrap();
+        let sent = Message::of_text(&text);
         let answer = client.ask(&text);
         assert_eq!(
             (answer.status(), answer.body.as_slice()),
--- a/agent/tests/loopback/stopping.rs
+++ b/agent/tests/loopback/stopping.rs
@@ -1,6 +1,6 @@
 //! SIGTERM: what has been taken is answered, newcomers are served for a while, and the end is clean.
 
-use crate::common::*;
+use dilljunction_lab::hand::*;
 
 /// A client that has connected before the listener closed may ask after that: it has nowhere else to turn.
 #[test]
@@ -20,7 +20,7 @@
     assert!(std::net::TcpStream::connect(agent.address).is_err());
     assert_eq!(new.ask(&request("read", 9000)).status(), 200);
     assert!(new.read().is_none(), "and is closed after its answer");
-    release.send(()).unwrap();
+    release.one();
     assert_eq!(busy.read().map(|m| m.status()), Some(200));
     assert_eq!(agent.ended(), Some(0));
 }
@@ -47,7 +47,7 @@
     // A connection that was idle at the signal may still be used.
     let answer = idle.ask(&request("read", 9000));
     assert_eq!((answer.status(), answer.header("Connection")), (200, Some("close")));
-    release.send(()).unwrap();
+    release.one();
     let answer = busy.read().expect("what was taken is answered");
     assert_eq!((answer.status(), answer.body.as_slice()), (200, "done".as_bytes()));
     assert_eq!(agent.ended(), Some(0));
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod clock;
 pub mod discovery;
 pub mod evidence;
+pub mod hand;
 pub mod http;
 pub mod link;
 pub mod live;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -150,6 +150,7 @@
     with_area(|area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
+            .margin_right(24)
             .x_label_area_size(28)
             .y_label_area_size(52)
             .build_cartesian_2d(0.0..end, 0.0..most)?;
@@ -158,6 +159,14 @@
         chart.draw_series(
             spans(outcome).into_iter().map(|(from, to)| Rectangle::new([(from, 0.0), (to, most)], shade)),
         )?;
+        if lines.len() == 1 {
+            // The one picture with room for them: what each shaded time is.
+            let style = ("sans-serif", 12).into_font().color(&RGBColor(120, 30, 20));
+            let text = |(n, f): (usize, &crate::world::Fault)| {
+                Text::new(f.label(), (f.at, most * (0.06 + 0.055 * (n % 12) as f64)), style.clone())
+            };
+            chart.draw_series(outcome.world.fault.iter().enumerate().map(text))?;
+        }
         for (n, (name, points)) in lines.iter().enumerate() {
             let color = Palette99::pick(n).to_rgba();
             let drawn = chart.draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(1)))?;
@@ -186,9 +195,10 @@
     with_area(|area| {
         let mut chart = ChartBuilder::on(area)
             .margin(8)
+            .margin_right(24)
             .x_label_area_size(28)
             .y_label_area_size(52)
-            .build_cartesian_2d(place(0.5)..place(0.9999) + 0.1, 0.0..most)?;
+            .build_cartesian_2d(0.0..4.0, 0.0..most)?;
         let label = |x: &f64| format!("{:.4}", 1.0 - 10f64.powf(-x)).trim_end_matches('0').to_string();
         chart
             .configure_mesh()
