--- a/agent/tests/worlds.rs
+++ b/agent/tests/worlds.rs
@@ -54,7 +54,10 @@
     let outcome = play(short("calm", 60.0, 5.0));
     let refused = outcome.evidence.tries.iter().filter(|t| matches!(t.end, End::Refused(_))).count();
     let tries = outcome.evidence.tries.len();
-    assert!(served(&outcome.evidence) + refused == tries && refused * 4 < tries, "{refused} of {tries} refused");
+    assert!(
+        served(&outcome.evidence) + refused == tries && refused * 4 < tries,
+        "{refused} of {tries} refused"
+    );
 }
 
 #[test]
@@ -87,3 +90,104 @@
     let back = outcome.evidence.tries.iter().filter(after).any(|t| matches!(t.end, End::Served(_)));
     assert!(back, "the agent that was killed serves again");
 }
+
+/// Coordinated omission: clients go on when they are due, so that an agent that stands still for a second shows a second,
+/// and what it could not answer meanwhile is not held against it.
+#[test]
+fn an_agent_that_stalls_for_a_second_shows_a_second() {
+    let text = "about = 'a stall'
+seconds = 3
+rate = 60
+agents = 1
+[clients]
+patience = [1.0, 1.0]
+[[building]]
+name = 'a'
+servers = 2
+[[class]]
+name = 'read'
+share = 1
+work_ms = [2, 4]
+wanted_ms = 4000
+deadline_ms = 5000
+worth = 1
+effect = 'safe'
+[[fault]]
+kind = 'stall'
+at = 1
+for = 1
+";
+    let outcome = play(World::parse(text, "stall").unwrap());
+    let [.., worst] = outcome.service.latencies[0].1[..] else { panic!("no latencies") };
+    assert!(worst >= 900.0, "the worst of {} tries took {worst} ms", outcome.evidence.tries.len());
+    // And those that were due later in the stall waited less, each from its own moment.
+    let waited = |t: &&dilljunction_lab::evidence::Try| t.ended.since(t.due).as_millis() >= 250;
+    let waiting = outcome.evidence.tries.iter().filter(waited).count();
+    assert!(waiting >= 20, "{waiting} requests were due in the first three quarters of it");
+}
+
+/// A small world with one fault, in the words of a world's file.
+fn with_fault(fault: &str) -> World {
+    let text = format!(
+        "about = 'one fault'\nseconds = 2.2\nrate = 40\nagents = 2\nlist_late = 0.2
+[clients]\npatience = [0.9, 0.9]
+[[building]]\nname = 'a'\nservers = 2\n[[building]]\nname = 'b'\nservers = 2
+[[fault]]\nat = 0.4\n{fault}\n"
+    );
+    World::parse(&text, fault).unwrap()
+}
+
+/// Every fault that has a name is caused by it, and the agent outlives it with all rules kept.
+#[test]
+fn every_fault_by_its_name_breaks_no_rule() {
+    const FAULTS: [&str; 24] = [
+        "kind = 'slow'\nfor = 1\nservers = ['a-1']\nfactor = 6",
+        "kind = 'hang'\nfor = 1\nservers = ['a-1', 'b-1']",
+        "kind = 'crash'\nfor = 0.5\nservers = ['a-*']",
+        "kind = 'restart'\nservers = ['a-1']",
+        "kind = 'drain'\nfor = 1\nservers = ['a-1']",
+        "kind = 'break'\nfor = 1\nservers = ['*']\npoint = 'before-head'\nodds = 0.2",
+        "kind = 'break'\nfor = 1\nservers = ['*']\npoint = 'after-head'\nodds = 0.2",
+        "kind = 'break'\nfor = 1\nservers = ['*']\npoint = 'before-effect'\nodds = 0.2",
+        "kind = 'break'\nfor = 1\nservers = ['*']\npoint = 'half-answer'\nodds = 0.2",
+        "kind = 'crash-at'\nfor = 0.5\nservers = ['a-1']\npoint = 'after-effect'",
+        "kind = 'reports'\nfor = 1\nservers = ['*']\nreports = 'absurd'",
+        "kind = 'idle'\nservers = ['*']\nidle_ms = 40\nsilently = true",
+        "kind = 'cut'\nfor = 0.8\nbuilding = 'b'",
+        "kind = 'half-open'\nfor = 0.8\nbuilding = 'b'\ndirection = 'back'",
+        "kind = 'cut-after'\nfor = 0.8\nbuilding = 'b'\ndirection = 'out'\nbytes = 300",
+        "kind = 'reset'\nbuilding = 'b'",
+        "kind = 'line'\nfor = 1\nbuilding = 'b'\nlatency_ms = 30\njitter_ms = 20\nkib_s = 64",
+        "kind = 'flood'\nfor = 1\noffice = 'legal-aid'\nfactor = 10",
+        "kind = 'list'\nfor = 1\nlist = 'silent'",
+        "kind = 'list'\nfor = 1\nlist = 'down'",
+        "kind = 'list'\nfor = 1\nlist = 'stale'",
+        "kind = 'list-late'\nfor = 1\nlatency_ms = 300",
+        "kind = 'list-moves'",
+        "kind = 'kill'\nfor = 0.2\nagents = ['agent-1']",
+    ];
+    for few in FAULTS.chunks(6) {
+        let worlds = few.iter().map(|fault| std::thread::spawn(move || (*fault, play(with_fault(fault)))));
+        for world in worlds.collect::<Vec<_>>() {
+            let (fault, outcome) = world.join().unwrap();
+            assert!(served(&outcome.evidence) > 10, "{fault}: hardly anything is served");
+        }
+    }
+}
+
+/// A world that stands without offices tells where everything is.
+#[test]
+fn a_stage_names_all_that_stands_on_it() {
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let subject = Subject::Program(program(), Vec::new());
+    runtime.block_on(async {
+        let stage = dilljunction_lab::run::Stage::set(World::find("calm").unwrap(), subject).await.unwrap();
+        let directory = stage.directory();
+        assert_eq!(directory["servers"].as_array().map(Vec::len), Some(6));
+        assert_eq!(directory["links"], serde_json::json!(["san-fernando~marabella"]));
+        for agent in directory["agents"].as_array().unwrap() {
+            let address = agent["address"].as_str().unwrap();
+            assert!(std::net::TcpStream::connect(address).is_ok(), "{agent}");
+        }
+    });
+}
--- a/lab/src/agents.rs
+++ b/lab/src/agents.rs
@@ -144,6 +144,15 @@
         kill.map(drop).map_err(|e| format!("cannot signal agent-{}: {e}", self.setup.index))
     }
 
+    /// Stops it in the middle of whatever it does, or lets it go on.
+    pub async fn stall(&self, stall: bool) {
+        let Running::Program(child) = &self.running else { return };
+        if let Some(id) = child.id() {
+            let signal = if stall { "-STOP" } else { "-CONT" };
+            let _ = Command::new("kill").args([signal, &id.to_string()]).status().await;
+        }
+    }
+
     /// True if a program has ended by itself.
     pub fn has_crashed(&mut self) -> bool {
         match &mut self.running {
--- a/lab/src/booking/model.rs
+++ b/lab/src/booking/model.rs
@@ -92,6 +92,7 @@
     born: At,
     cold: bool,
     slow: f64,
+    hung: bool,
     now: At,
     running: Vec<Running>,
     waiting: VecDeque<(u64, f64)>,
@@ -117,6 +118,7 @@
             born,
             cold,
             slow: 1.0,
+            hung: false,
             now: born,
             running: Vec::new(),
             waiting: VecDeque::new(),
@@ -142,6 +144,12 @@
         self.slow = factor.max(0.01);
     }
 
+    /// Gets nothing done while it hangs, and goes on where it was after that.
+    pub fn set_hung(&mut self, now: At, hung: bool, out: &mut Vec<Step>) {
+        self.advance(now, out);
+        self.hung = hung;
+    }
+
     /// A request has come; false if it is turned away.
     pub fn offer(&mut self, now: At, id: u64, work_us: f64, out: &mut Vec<Step>) -> bool {
         self.advance(now, out);
@@ -175,7 +183,7 @@
 
     /// Lets time pass up to `now`.
     pub fn advance(&mut self, now: At, out: &mut Vec<Step>) {
-        while self.now < now && !self.fallen {
+        while self.now < now && !self.fallen && !self.hung {
             let next = self.next().map_or(now, |at| at.min(now)).max(At(self.now.0 + 1));
             let each = self.rate() * next.since(self.now).as_micros() as f64;
             self.now = next;
@@ -189,7 +197,7 @@
 
     /// When something happens next if nothing comes.
     pub fn next(&self) -> Option<At> {
-        if self.fallen {
+        if self.fallen || self.hung {
             return None;
         }
         let least = self.running.iter().map(|r| r.left).fold(f64::INFINITY, f64::min);
@@ -335,6 +343,19 @@
         assert!((0..1000).all(|id| warm.offer(At(0), id, 100_000.0, &mut out)));
     }
 
+    #[test]
+    fn a_hang_gets_nothing_done_whatever_comes_and_goes_on_after() {
+        let mut model = Model::new(Figures { cores: 1.0, ..Figures::default() }, At(0), false);
+        let mut out = Vec::new();
+        model.offer(At(0), 1, 10_000.0, &mut out);
+        model.set_hung(At(4_000), true, &mut out);
+        assert!(model.offer(At(500_000), 2, 10_000.0, &mut out) && model.next().is_none());
+        assert!(!out.contains(&Step::Done(1)));
+        model.set_hung(At(600_000), false, &mut out);
+        // 6 ms of the first are left, at half speed beside the second.
+        assert_eq!(run(&mut model, At(1_000_000)), [(1, 612), (2, 616)]);
+    }
+
     #[test]
     fn slowness_and_burdens_cost_time_and_reports_are_stale() {
         let figures = Figures { cores: 1.0, ..Figures::default() };
--- a/lab/src/booking/shell.rs
+++ b/lab/src/booking/shell.rs
@@ -79,7 +79,6 @@
 }
 
 struct Faults {
-    hang: bool,
     draining: bool,
     reports: Reports,
     /// Requests break here, so many of them.
@@ -147,7 +146,6 @@
         let address = listener.local_addr()?;
         let now = clock.now();
         let faults = Faults {
-            hang: false,
             draining: false,
             reports: Reports::Sound,
             breaks: None,
@@ -225,8 +223,9 @@
 
     /// Takes requests and does nothing about them, or goes on.
     pub fn hang(&self, hang: bool) {
-        locked(&self.0.state).faults.hang = hang;
-        self.0.turned.notify_one();
+        let (mut state, mut steps) = (locked(&self.0.state), Vec::new());
+        state.model.set_hung(self.0.clock.now(), hang, &mut steps);
+        self.carry_out(&mut state, steps);
     }
 
     /// Turns new requests away and finishes what it has, or goes on.
@@ -292,7 +291,6 @@
             state.slow = 1.0;
             state.life += 1;
             (state.born, state.cold, state.up, state.connections) = (now, cold, true, 0);
-            state.faults.hang = false;
             state.faults.draining = false;
             state.faults.breaks = None;
             state.faults.crash_at = None;
@@ -336,7 +334,7 @@
         loop {
             let next = {
                 let mut state = locked(&self.0.state);
-                if state.up && !state.faults.hang {
+                if state.up {
                     let mut steps = Vec::new();
                     state.model.advance(self.0.clock.now(), &mut steps);
                     self.write_down(&mut state, steps);
--- a/lab/src/checker.rs
+++ b/lab/src/checker.rs
@@ -511,6 +511,13 @@
         assert_eq!(count(&after, Rule::OneAnswer), 1);
     }
 
+    #[test]
+    fn an_answer_that_crosses_the_clients_give_up_is_not_lost() {
+        let late = of(vec![a_try(0, End::Served(7), 1540)], vec![attempt(0, 0, 0, 1400)]);
+        assert_eq!(count(&late, Rule::OneAnswer), 0);
+        assert_eq!(count(&of(vec![a_try(0, End::Silent, 1550)], Vec::new()), Rule::OneAnswer), 1);
+    }
+
     #[test]
     fn a_close_on_what_was_passed_on_is_a_lost_answer_and_not_a_double_effect() {
         let resent = Try { resent: Some(At(150 * MS)), ..a_try(1, End::Served(7), 220) };
--- a/lab/src/office.rs
+++ b/lab/src/office.rs
@@ -31,15 +31,17 @@
     pub retries: u32,
     /// The wait before one, in milliseconds, where the refusal names none.
     pub retry_wait_ms: f64,
-    /// The shares of its class's deadline that a client waits at least and at most.
+    /// The shares of its class's deadline that clients wait at least and at most, from their first try on.
     pub patience: (f64, f64),
+    /// Every client has a patience of its own; otherwise one is drawn for the whole run, as one program has one setting.
+    pub mixed: bool,
     /// The share of tries whose client goes away before its time.
     pub leaving: f64,
 }
 
 impl Default for Habits {
     fn default() -> Self {
-        Habits { retries: 1, retry_wait_ms: 150.0, patience: (0.7, 1.0), leaving: 0.0 }
+        Habits { retries: 1, retry_wait_ms: 150.0, patience: (0.7, 1.0), mixed: false, leaving: 0.0 }
     }
 }
 
@@ -93,6 +95,8 @@
     names: AtomicUsize,
     lags: Mutex<Vec<u32>>,
     counts: Mutex<HashMap<&'static str, u64>>,
+    /// Where between the least and the most patience all clients are, if it is not mixed.
+    patience: f64,
 }
 
 /// A handle to all clients.
@@ -127,6 +131,7 @@
     pub fn new(plan: Plan, agents: Vec<SocketAddr>, clock: Clock, book: Book) -> Offices {
         let lines = agents.iter().map(|_| Lines::default()).collect();
         let floods = watch::Sender::new(vec![1.0; plan.offices.len()]);
+        let patience = fastrand::Rng::with_seed(plan.seed).f64();
         Offices(Arc::new(Inner {
             plan,
             clock,
@@ -138,6 +143,7 @@
             names: AtomicUsize::new(0),
             lags: Mutex::default(),
             counts: Mutex::default(),
+            patience,
         }))
     }
 
@@ -213,12 +219,13 @@
         let (facts, _) = self.0.plan.classes[order.class].clone();
         let habits = self.0.plan.habits;
         let start = order.due;
+        let (least, most) = habits.patience;
+        let drawn = if habits.mixed { random.f64() } else { self.0.patience };
+        let patience = least + (most - least) * drawn;
+        let give_up = start.plus(facts.deadline.mul_f64(patience));
         loop {
-            let (least, most) = habits.patience;
-            let patience = least + (most - least) * random.f64();
-            let give_up = order.due.plus(facts.deadline.mul_f64(patience));
             let leaves = (random.f64() < habits.leaving)
-                .then(|| order.due.plus(facts.deadline.mul_f64(patience * random.f64())));
+                .then(|| order.due.plus(give_up.since(order.due).mul_f64(random.f64())));
             let call = format!("c{}", self.0.names.fetch_add(1, Ordering::Relaxed));
             let (Sent { sent, resent }, end) = self.ask(&order, &call, give_up, leaves).await;
             let ended = self.0.clock.now();
@@ -256,6 +263,9 @@
             let wait = Duration::try_from_secs_f64(wait).unwrap_or(RETRY_LEAST).max(RETRY_LEAST);
             order.number += 1;
             order.due = ended.plus(wait);
+            if order.due.plus(RETRY_LEAST) >= give_up {
+                break;
+            }
             self.0.clock.until(order.due).await;
         }
         self.0.under_way.fetch_sub(1, Ordering::Relaxed);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -306,7 +306,7 @@
     fn targets(&self, fault: &Fault) -> Vec<Target> {
         let none = Target { server: None, agent: None };
         match fault.kind {
-            Kind::List | Kind::ListLate | Kind::ListMoves | Kind::Kill => {
+            Kind::List | Kind::ListLate | Kind::ListMoves | Kind::Kill | Kind::Stall => {
                 let agents = self.world.agents_named(&fault.agents);
                 agents.into_iter().map(|a| Target { agent: Some(a), ..none }).collect()
             }
@@ -451,6 +451,13 @@
                     }
                 }
                 Kind::Kill => self.kill(agent, view, to).await,
+                Kind::Stall => {
+                    // What it could not answer meanwhile is the world's doing.
+                    let (from, agent_index) = (self.clock.now(), self.agent.as_ref().map_or(0, |a| a.0));
+                    let to = to.unwrap_or(At(u64::MAX)).plus(HEAL);
+                    self.book.open().outages.push(Outage { agent: agent_index, from, to });
+                    agent.lock().await.stall(true).await;
+                }
                 _ => {}
             }
         }
@@ -526,10 +533,11 @@
                 _ => {}
             }
         }
-        if let Some((_, _, view)) = &self.agent {
+        if let Some((_, agent, view)) = &self.agent {
             match self.fault.kind {
                 Kind::List => view.ail(Ailment::None),
                 Kind::ListLate => view.delay(Duration::ZERO),
+                Kind::Stall => agent.lock().await.stall(false).await,
                 _ => {}
             }
         }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -192,6 +192,8 @@
     ListMoves,
     /// Agents are killed and started again after `for` seconds.
     Kill,
+    /// Agents are stopped in the middle of whatever they do, and go on after `for` seconds.
+    Stall,
 }
 
 /// Something that goes wrong.
@@ -488,7 +490,7 @@
         let servers =
             matches!(fault.kind, Slow | Hang | Crash | Restart | Drain | Break | CrashAt | Reports | Idle);
         let building = matches!(fault.kind, Cut | HalfOpen | CutAfter | Reset | Line);
-        let agents = matches!(fault.kind, List | ListLate | ListMoves | Kill);
+        let agents = matches!(fault.kind, List | ListLate | ListMoves | Kill | Stall);
         let needs: [(&str, bool, bool); 14] = [
             ("servers", !fault.servers.is_empty(), servers),
             ("building", fault.building.is_some(), building),
@@ -502,7 +504,7 @@
             ("bytes", fault.bytes.is_some(), fault.kind == CutAfter),
             ("direction", fault.direction.is_some(), matches!(fault.kind, CutAfter | HalfOpen)),
             ("idle_ms", fault.idle_ms.is_some(), fault.kind == Idle),
-            ("for", fault.lasts.is_some() || fault.kind != Kill, true),
+            ("for", fault.lasts.is_some() || !matches!(fault.kind, Kill | Stall), true),
             ("at", fault.at >= 0.0 && fault.lasts.is_none_or(|f| f >= 0.0) && fault.stagger >= 0.0, true),
         ];
         for (key, there, needed) in needs {
