Prove the checker on an agent that repeats a keyed request after its window

Need: the flaw 'outside its building or window' was proved for the building only; the window had unit tests alone.

--- a/lab/src/broken.rs
+++ b/lab/src/broken.rs
@@ -25,8 +25,10 @@
     DropsAnswers,
     /// Sends an unsafe request again after a reset.
     RepeatsUnsafe,
-    /// Sends a keyed request again in another building, or after its window.
+    /// Sends a keyed request again in another building.
     RepeatsOutside,
+    /// Sends a keyed request again after its window.
+    RepeatsLate,
     /// Refuses what may have run.
     RefusesWhatRan,
     /// Goes on sending to servers that drain.
@@ -221,6 +223,10 @@
                         ("idempotent", _) => None,
                         ("at_most_once", _) if self.flaw == Flaw::RepeatsUnsafe => None,
                         ("deduplicated", _) if self.flaw == Flaw::RepeatsOutside => None,
+                        ("deduplicated", _) if self.flaw == Flaw::RepeatsLate => {
+                            sleep(class.window + Duration::from_millis(120)).await;
+                            Some(building.clone())
+                        }
                         ("deduplicated", "all") if in_window => None,
                         ("deduplicated", "zone") if in_window => Some(building.clone()),
                         _ => break,
--- a/lab/src/proofs.rs
+++ b/lab/src/proofs.rs
@@ -52,6 +52,25 @@
 odds = 0.3
 ";
 
+const BRIEF_WINDOW: &str = "seconds = 2\nrate = 60\nagents = 2
+[[class]]
+name = 'log-session'
+share = 1
+work_ms = [5, 10]
+wanted_ms = 900
+deadline_ms = 2000
+worth = 1
+effect = 'keyed'
+group = 'all'
+window_ms = 100
+[[fault]]
+kind = 'break'
+at = 0.2
+servers = ['*']
+point = 'after-effect'
+odds = 0.3
+";
+
 const DRAIN: &str = "seconds = 3.4\nrate = 60\nagents = 2\nlist_late = 0.1
 [[fault]]
 kind = 'drain'
@@ -79,11 +98,12 @@
 ";
 
 /// All proofs.
-pub const PROOFS: [Proof; 8] = [
+pub const PROOFS: [Proof; 9] = [
     Proof { flaw: Flaw::AnswersTwice, rule: Rule::OneAnswer, world: PLAIN },
     Proof { flaw: Flaw::DropsAnswers, rule: Rule::OneAnswer, world: PLAIN },
     Proof { flaw: Flaw::RepeatsUnsafe, rule: Rule::NoDoubleEffect, world: UNSAFE },
     Proof { flaw: Flaw::RepeatsOutside, rule: Rule::NoDoubleEffect, world: KEYED },
+    Proof { flaw: Flaw::RepeatsLate, rule: Rule::NoDoubleEffect, world: BRIEF_WINDOW },
     Proof { flaw: Flaw::RefusesWhatRan, rule: Rule::NoDoubleEffect, world: KEYED },
     Proof { flaw: Flaw::IgnoresDrains, rule: Rule::DrainsKept, world: DRAIN },
     Proof { flaw: Flaw::PushesCold, rule: Rule::ColdSpared, world: COLD },
--- a/lab/tests/proofs.rs
+++ b/lab/tests/proofs.rs
@@ -45,21 +45,26 @@
 }
 
 #[test]
-fn an_agent_that_refuses_what_may_have_run_is_found() {
+fn an_agent_that_repeats_a_keyed_request_after_its_window_is_found() {
     prove(4);
 }
 
 #[test]
-fn an_agent_that_goes_on_sending_past_the_drains_grace_is_found() {
+fn an_agent_that_refuses_what_may_have_run_is_found() {
     prove(5);
 }
 
 #[test]
-fn an_agent_that_pushes_a_cold_server_over_is_found() {
+fn an_agent_that_goes_on_sending_past_the_drains_grace_is_found() {
     prove(6);
 }
 
 #[test]
-fn an_agent_that_holds_refusals_back_is_found() {
+fn an_agent_that_pushes_a_cold_server_over_is_found() {
     prove(7);
 }
+
+#[test]
+fn an_agent_that_holds_refusals_back_is_found() {
+    prove(8);
+}
