Lab: make an offices' plan in one place; drop an unused method

Found by reading the whole change: run.rs and standins.rs built the same plan, and a server's warmth could be asked for in two ways, one of them by nobody. No change of behaviour.

--- a/lab/src/booking/shell.rs
+++ b/lab/src/booking/shell.rs
@@ -1,6 +1,6 @@
 //! The sockets of a booking server.
 
-use super::model::{self, warmth, Figures, Model, Step};
+use super::model::{self, Figures, Model, Step};
 use super::{Act, Point, Reports, Script};
 use crate::clock::{At, Clock};
 use crate::evidence::{fingerprint, Attempt, Book, Effect, Fragment, Group, Life, ServerIndex};
@@ -653,12 +653,6 @@
             }
         });
     }
-
-    /// The share of its warm speed that it has at a moment of this life.
-    pub fn warmth(&self, now: At) -> f64 {
-        let state = locked(&self.0.state);
-        warmth(&self.0.setup.figures, state.cold.then_some(state.born), now)
-    }
 }
 
 /// What can be seen of a server at a moment.
--- a/lab/src/office.rs
+++ b/lab/src/office.rs
@@ -4,6 +4,7 @@
 use crate::clock::{At, Clock};
 use crate::evidence::{fingerprint, AgentIndex, Book, ClassFacts, Effect, End, Group, Stray, Try};
 use crate::http::{Broken, Reader};
+use crate::world::World;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -76,6 +77,21 @@
     pub seed: u64,
 }
 
+impl Plan {
+    /// What a world's offices do until a moment.
+    pub fn of(world: &World, until: At) -> Plan {
+        Plan {
+            offices: world.office.iter().map(|o| Office { name: o.name.clone(), share: o.share }).collect(),
+            classes: world.class_facts().into_iter().zip(world.class.iter().map(|c| c.share)).collect(),
+            rate: world.rate,
+            agent_shares: world.agent_shares(),
+            habits: world.clients,
+            until,
+            seed: world.seed,
+        }
+    }
+}
+
 struct Idle {
     reader: Reader<OwnedReadHalf>,
     output: OwnedWriteHalf,
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -8,7 +8,7 @@
 use crate::discovery::{told_at_start, Ailment, Entry, Registry, View};
 use crate::evidence::{Book, Evidence, Outage, Silence, Word};
 use crate::link::{Links, Manner};
-use crate::office::{watch_lag, Office, Offices, Plan};
+use crate::office::{watch_lag, Offices, Plan};
 use crate::service::{count, Service, Terms};
 use crate::world::{Fault, Kind, World};
 use std::collections::HashMap;
@@ -581,15 +581,7 @@
     let mut stage = Stage::set(world, subject).await?;
     let world = stage.world.clone();
     let zero = stage.clock.now();
-    let plan = Plan {
-        offices: world.office.iter().map(|o| Office { name: o.name.clone(), share: o.share }).collect(),
-        classes: world.class_facts().into_iter().zip(world.class.iter().map(|c| c.share)).collect(),
-        rate: world.rate,
-        agent_shares: world.agent_shares(),
-        habits: world.clients,
-        until: zero.plus(Duration::from_secs_f64(world.seconds)),
-        seed: world.seed,
-    };
+    let plan = Plan::of(&world, zero.plus(Duration::from_secs_f64(world.seconds)));
     let offices = Offices::new(plan, stage.addresses.clone(), stage.clock, stage.book.clone());
     stage.tasks.spawn(watch_lag(stage.clock, stage.book.clone()));
     stage.begin_faults(zero, Some(&offices));
--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -5,7 +5,7 @@
 use crate::discovery::{Entry, Registry, View};
 use crate::evidence::{Book, Word};
 use crate::link::Link;
-use crate::office::{Office, Offices, Plan};
+use crate::office::{Offices, Plan};
 use crate::world::World;
 use clap::ValueEnum;
 use std::collections::HashMap;
@@ -85,15 +85,7 @@
     }
     let mut world = World::find("calm")?;
     (world.rate, world.agents) = (rate, to.len());
-    let plan = Plan {
-        offices: world.office.iter().map(|o| Office { name: o.name.clone(), share: o.share }).collect(),
-        classes: world.class_facts().into_iter().zip(world.class.iter().map(|c| c.share)).collect(),
-        rate: world.rate,
-        agent_shares: world.agent_shares(),
-        habits: world.clients,
-        until: At(u64::MAX),
-        seed: world.seed,
-    };
+    let plan = Plan::of(&world, At(u64::MAX));
     let offices = Offices::new(plan, to.to_vec(), clock, book.clone());
     tokio::spawn(offices.clone().run());
     loop {
