--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -181,8 +181,10 @@
                 Action::Cancel { request, attempt } => {
                     self.0.core.borrow_mut().requests.call_off(request, attempt.0);
                 }
-                Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
-                Action::Fail { request } => self.answer(request, Answer::Failed),
+                Action::Refuse { request, retry_after, .. } => {
+                    self.answer(request, Answer::Refused(retry_after))
+                }
+                Action::Fail { request, .. } => self.answer(request, Answer::Failed),
                 Action::SetTimer { at, timer } => self.0.timers.set(at, timer),
                 Action::Probe { server } => self.probe(server),
                 Action::CloseIdle { server } => self.pool().close_idle(server),
@@ -333,7 +335,7 @@
             let (driver, _listener) = driver().await;
             let (id, answer) = submit(&driver);
             let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
-            driver.perform(vec![cancel, Action::Fail { request: id }]);
+            driver.perform(vec![cancel, Action::Fail { request: id, reason: Reason::FailedLate }]);
             assert!(matches!(answer.await, Ok(Answer::Failed)));
             assert!(driver.0.core.borrow().requests.is_open(id), "its outcome has not been told");
             while driver.0.core.borrow().requests.is_open(id) {
@@ -351,8 +353,8 @@
             let (driver, _listener) = driver().await;
             let (id, answer) = submit(&driver);
             driver.perform(vec![
-                Action::Fail { request: id },
-                Action::Refuse { request: id, retry_after: None },
+                Action::Fail { request: id, reason: Reason::FailedLate },
+                Action::Refuse { request: id, retry_after: None, reason: Reason::NoRoom },
             ]);
             assert!(matches!(answer.await, Ok(Answer::Failed)));
             driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -364,6 +364,38 @@
         assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
     }
 
+    /// What a given-up attempt has not got out must not arrive later, when its request has been answered: a plain close
+    /// would leave it to the kernel, and the peer would read on to a proper end.
+    #[tokio::test]
+    async fn what_is_unsent_when_an_attempt_is_given_up_never_arrives() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let local = LocalSet::new();
+        let mut peer = None;
+        let given_up = async {
+            tokio::select! {
+                outcome = attempt(address, 64 << 20, true) => panic!("nobody read it, and it ended as {outcome:?}"),
+                // Its first bytes are here, and the two sockets can't hold the rest.
+                () = async {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    stream.peek(&mut [0; 1]).await.unwrap();
+                    peer = Some(stream);
+                } => {}
+            }
+        };
+        local.run_until(given_up).await;
+        drop(local);
+        let (mut peer, mut buffer) = (peer.unwrap(), vec![0; 1 << 20]);
+        let end = loop {
+            match peer.read(&mut buffer).await {
+                Ok(0) => break None,
+                Ok(_) => {}
+                Err(e) => break Some(e.kind()),
+            }
+        };
+        assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
+    }
+
     /// A server that ends each new connection before anything could be written gets no storm of them.
     #[tokio::test]
     async fn a_new_connection_that_ends_at_once_is_not_repeated() {
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -69,8 +69,9 @@
     }
 }
 
-/// Closes its connection when dropped, unless that has been given back: nobody waits on it any more, and what
-/// still came on it would be taken for the answer to the next request.
+/// Aborts its connection when dropped, unless that has been given back: nobody waits on it any more, and what
+/// still came on it would be taken for the answer to the next request. What has not reached the server by then must
+/// not reach it later: the request is answered, or sent elsewhere.
 pub struct Lease {
     sender: Option<SendRequest<Full<Bytes>>>,
     /// Its socket.
@@ -95,6 +96,7 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         if self.sender.is_some() {
+            self.view.drop_unsent();
             self.task.abort();
         }
     }
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -9,6 +9,7 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -131,6 +132,15 @@
         self.stream.upgrade().is_some_and(|stream| is_quiet(&stream))
     }
 
+    /// Whenever the connection ends from now on, what has not gone out by then is dropped: a plain close leaves it to the
+    /// kernel, which goes on delivering it for minutes, past any time that a request or its key has.
+    pub fn drop_unsent(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            // Zero: close by a reset, and discard. An error means that the socket has ended already.
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     /// True if the peer has sent something that waits to be read.
     pub fn has_unread(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| matches!(peek(&stream), Ok(n) if n > 0))
--- a/agent/tests/host.rs
+++ b/agent/tests/host.rs
@@ -2,8 +2,8 @@
 
 use dilljunction_agent::{Agent, Config, Switches};
 use dilljunction_lab::clock::Clock;
-use dilljunction_lab::hand::{config, ok, request, serving, Backend, Discovery, SETTINGS};
-use dilljunction_lab::http::Reader;
+use dilljunction_lab::standins::hand::{config, ok, request, serving, Backend, Discovery, SETTINGS};
+use dilljunction_lab::standins::http::Reader;
 use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
--- a/agent/tests/loopback/cli.rs
+++ b/agent/tests/loopback/cli.rs
@@ -1,6 +1,6 @@
 //! The command line: what it checks, what it refuses, and that a switch counts.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 use std::process::{Command, Output};
 
 fn dilljunction(arguments: &[&str]) -> Output {
--- a/agent/tests/loopback/clients.rs
+++ b/agent/tests/loopback/clients.rs
@@ -1,6 +1,6 @@
 //! Bad clients: each gets an error or a close, and none of what it sends reaches a backend.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 
 /// What is sent gets this status, the connection is closed, and no backend hears of it.
 fn turned_away(what: &str, text: &str, status: u16) {
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -1,6 +1,6 @@
 //! Bad input from clients, bad configurations, and descriptors.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 use std::io::Read;
 
 /// Whatever can't be used gets a plain 4xx and never reaches a backend.
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -1,6 +1,6 @@
 //! Discovery: what it tells is followed, and its failures are survived.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 
 #[test]
 fn readiness_waits_for_a_list() {
--- a/agent/tests/loopback/outcomes.rs
+++ b/agent/tests/loopback/outcomes.rs
@@ -1,8 +1,8 @@
 //! Each row of the protocol's table of outcomes, and the one final answer.
 
-use dilljunction_lab::booking::Act;
-use dilljunction_lab::hand::*;
-use dilljunction_lab::http::Message;
+use dilljunction_lab::standins::booking::Act;
+use dilljunction_lab::standins::hand::*;
+use dilljunction_lab::standins::http::Message;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
--- a/agent/tests/loopback/reload.rs
+++ b/agent/tests/loopback/reload.rs
@@ -1,6 +1,6 @@
 //! SIGHUP: discovery is asked where the new configuration names it, and clients notice nothing.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 
 fn with_source(source: &Discovery) -> String {
     config(source.address, "", SETTINGS, 1024)
--- a/agent/tests/loopback/spoilt.rs
+++ b/agent/tests/loopback/spoilt.rs
@@ -1,9 +1,9 @@
 //! Spoilt answers: a failed attempt that may have run, whose connection is closed and on which nothing waits.
 
 use crate::outcomes::outcome;
-use dilljunction_lab::booking::Act;
-use dilljunction_lab::hand::*;
-use dilljunction_lab::http::Message;
+use dilljunction_lab::standins::booking::Act;
+use dilljunction_lab::standins::hand::*;
+use dilljunction_lab::standins::http::Message;
 
 const BODY: &str = "\r\n\r\nfirst";
 
--- a/agent/tests/loopback/stopping.rs
+++ b/agent/tests/loopback/stopping.rs
@@ -1,6 +1,6 @@
 //! SIGTERM: what has been taken is answered, newcomers are served for a while, and the end is clean.
 
-use dilljunction_lab::hand::*;
+use dilljunction_lab::standins::hand::*;
 
 /// A client that has connected before the listener closed may ask after that: it has nowhere else to turn.
 #[test]
--- a/lab/src/checker.rs
+++ b/lab/src/judge/checker.rs
@@ -12,10 +12,10 @@
 //! the client's give-up within the slack; what a client that went away would have got; a repeat in the right group and
 //! window; how late the lab itself ran; a wait for an attempt that is stuck in a link which the world has silenced.
 
-use crate::booking::model::{budget, warmth};
-use crate::booking::Figures;
 use crate::clock::At;
-use crate::evidence::{AgentIndex, Attempt, ClassFacts, Effect, End, Evidence, Group, Try, Word};
+use crate::judge::evidence::{AgentIndex, Attempt, ClassFacts, Effect, End, Evidence, Group, Try, Word};
+use crate::standins::booking::model::{budget, warmth};
+use crate::standins::booking::Figures;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -352,7 +352,7 @@
             came.sort_by_key(|a| a.came);
             let knew = |a: &Attempt| {
                 let agent = by_name.get(a.call.as_str()).map(|t| t.agent);
-                let told = |t: &&crate::evidence::Told| {
+                let told = |t: &&crate::judge::evidence::Told| {
                     Some(t.agent) == agent && t.server == life.server && t.word == Word::Serving(life.life)
                 };
                 let told = evidence.told.iter().filter(told).map(|t| t.at).min();
@@ -419,7 +419,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::evidence::{Life, Outage, Silence, Stray, Told};
+    use crate::judge::evidence::{Life, Outage, Silence, Stray, Told};
 
     const MS: u64 = 1000;
 
--- a/lab/src/service.rs
+++ b/lab/src/judge/service.rs
@@ -1,7 +1,7 @@
 //! What was got out of a run: the worth answered within its wanted time over the worth asked for, as the users count it,
 //! and latencies from the moment a request was due.
 
-use crate::evidence::{ClassFacts, End, Evidence, Try};
+use crate::judge::evidence::{ClassFacts, End, Evidence, Try};
 use std::collections::HashMap;
 
 /// The parts of the time that service is counted in, in seconds.
@@ -149,7 +149,7 @@
 mod tests {
     use super::*;
     use crate::clock::At;
-    use crate::evidence::Effect;
+    use crate::judge::evidence::Effect;
     use std::time::Duration;
 
     fn terms() -> Terms {
--- /dev/null
+++ b/lab/src/show/mod.rs
@@ -0,0 +1,4 @@
+//! What people see of a run.
+
+pub mod live;
+pub mod report;
--- a/lab/src/report.rs
+++ b/lab/src/show/report.rs
@@ -1,9 +1,9 @@
 //! One self-contained page about a run: the verdict, and pictures of what people would rather look at than read.
 
-use crate::checker::Rule;
-use crate::live::verdict;
-use crate::run::{Frame, Outcome};
-use crate::service::QUANTILES;
+use crate::judge::checker::Rule;
+use crate::judge::service::QUANTILES;
+use crate::show::live::verdict;
+use crate::world::run::{Frame, Outcome};
 use plotters::coord::Shift;
 use plotters::prelude::*;
 use std::fmt::Write as _;
@@ -80,7 +80,7 @@
         };
         names.iter().enumerate().map(line).collect()
     };
-    let of_agents = |figure: &dyn Fn(&crate::agents::Usage) -> f64| -> Vec<Line> {
+    let of_agents = |figure: &dyn Fn(&crate::world::agents::Usage) -> f64| -> Vec<Line> {
         let line = |n: usize| {
             let points =
                 outcome.frames.iter().filter_map(|f| Some((f.at, figure(f.agents.get(n)?.as_ref()?))));
--- a/lab/src/booking/mod.rs
+++ b/lab/src/standins/booking/mod.rs
@@ -6,7 +6,7 @@
 pub use model::Figures;
 pub use shell::{Booking, Look, Repeats, Seen, Setup, Work};
 
-use crate::http::Message;
+use crate::standins::http::Message;
 
 /// Where a request breaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
--- a/lab/src/booking/shell.rs
+++ b/lab/src/standins/booking/shell.rs
@@ -3,8 +3,8 @@
 use super::model::{self, Figures, Model, Step};
 use super::{Act, Point, Reports, Script};
 use crate::clock::{At, Clock};
-use crate::evidence::{fingerprint, Attempt, Book, Effect, Fragment, Group, Life, ServerIndex};
-use crate::http::{answer, Broken, Message, Reader, Stage};
+use crate::judge::evidence::{fingerprint, Attempt, Book, Effect, Fragment, Group, Life, ServerIndex};
+use crate::standins::http::{answer, Broken, Message, Reader, Stage};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/lab/src/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -3,8 +3,8 @@
 //! can fail by itself, and writes down what it has told.
 
 use crate::clock::{At, Clock};
-use crate::evidence::{AgentIndex, Book, ServerIndex, Told, Word};
-use crate::http::{answer, Reader};
+use crate::judge::evidence::{AgentIndex, Book, ServerIndex, Told, Word};
+use crate::standins::http::{answer, Reader};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/lab/src/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -1,11 +1,11 @@
 //! The stand-ins by hand, for plain blocking tests: scripted servers, a list that tests change, a client that writes bytes,
 //! and the agent's own program between them. Whatever is waited for is an event; the bounds only end a test that hangs.
 
-use crate::booking::{Act, Booking, Figures, Repeats, Seen, Setup};
 use crate::clock::Clock;
-use crate::discovery::{Ailment, Registry, View};
-use crate::evidence::Book;
-use crate::http::{answer, Message};
+use crate::judge::evidence::Book;
+use crate::standins::booking::{Act, Booking, Figures, Repeats, Seen, Setup};
+use crate::standins::discovery::{Ailment, Registry, View};
+use crate::standins::http::{answer, Message};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- /dev/null
+++ b/lab/src/standins/mod.rs
@@ -0,0 +1,9 @@
+//! What agents meet: servers, lists, links and clients, each of which fails on command and writes down what it sees. None
+//! knows of worlds.
+
+pub mod booking;
+pub mod discovery;
+pub mod hand;
+pub mod http;
+pub mod link;
+pub mod office;
--- a/lab/src/agents.rs
+++ b/lab/src/world/agents.rs
@@ -1,7 +1,7 @@
 //! The agents under test: the real program, started as a platform would start it, or one broken on purpose.
 
-use crate::broken::{Broken, Flaw};
-use crate::evidence::AgentIndex;
+use crate::judge::evidence::AgentIndex;
+use crate::world::broken::{Broken, Flaw};
 use crate::world::{EffectName, World};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
--- a/lab/src/standins.rs
+++ b/lab/src/world/alone.rs
@@ -1,11 +1,11 @@
 //! Any stand-in alone, for people and other programs.
 
-use crate::booking::{Booking, Figures, Repeats, Setup, Work};
 use crate::clock::{At, Clock};
-use crate::discovery::{Entry, Registry, View};
-use crate::evidence::{Book, Word};
-use crate::link::Link;
-use crate::office::{Offices, Plan};
+use crate::judge::evidence::{Book, Word};
+use crate::standins::booking::{Booking, Figures, Repeats, Setup, Work};
+use crate::standins::discovery::{Entry, Registry, View};
+use crate::standins::link::Link;
+use crate::standins::office::Offices;
 use crate::world::World;
 use clap::ValueEnum;
 use std::collections::HashMap;
@@ -85,7 +85,7 @@
     }
     let mut world = World::find("calm")?;
     (world.rate, world.agents) = (rate, to.len());
-    let plan = Plan::of(&world, At(u64::MAX));
+    let plan = world.plan(At(u64::MAX));
     let offices = Offices::new(plan, to.to_vec(), clock, book.clone());
     tokio::spawn(offices.clone().run());
     loop {
--- a/lab/src/proofs.rs
+++ b/lab/src/world/proofs.rs
@@ -1,8 +1,8 @@
 //! Small worlds in which a broken agent shows its flaw: each flaw with the rule that it breaks. A sound agent keeps all
 //! rules in the same worlds.
 
-use crate::broken::Flaw;
-use crate::checker::Rule;
+use crate::judge::checker::Rule;
+use crate::world::broken::Flaw;
 use crate::world::World;
 
 /// A flaw, the rule that it breaks, and the world that shows it.
--- a/lab/tests/booking.rs
+++ b/lab/tests/booking.rs
@@ -1,9 +1,9 @@
 //! The booking server's own deeds: each fault does what it is named for, and the truth log tells it.
 
-use dilljunction_lab::booking::{Booking, Figures, Point, Repeats, Reports, Setup, Work};
 use dilljunction_lab::clock::Clock;
-use dilljunction_lab::evidence::{Attempt, Book, Effect, Group};
-use dilljunction_lab::http::{Message, Reader};
+use dilljunction_lab::judge::evidence::{Attempt, Book, Effect, Group};
+use dilljunction_lab::standins::booking::{Booking, Figures, Point, Repeats, Reports, Setup, Work};
+use dilljunction_lab::standins::http::{Message, Reader};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
--- a/lab/tests/proofs.rs
+++ b/lab/tests/proofs.rs
@@ -1,11 +1,11 @@
 //! The judge is proved on agents that break a rule on purpose: each is found, by the right rule, and the same forwarder
 //! without its flaw passes the same world.
 
-use dilljunction_lab::agents::Subject;
-use dilljunction_lab::broken::Flaw;
-use dilljunction_lab::checker::Rule;
-use dilljunction_lab::proofs::PROOFS;
-use dilljunction_lab::run::{run_on_time, Outcome};
+use dilljunction_lab::judge::checker::Rule;
+use dilljunction_lab::world::agents::Subject;
+use dilljunction_lab::world::broken::Flaw;
+use dilljunction_lab::world::proofs::PROOFS;
+use dilljunction_lab::world::run::{run_on_time, Outcome};
 use std::sync::{Mutex, PoisonError};
 
 async fn play(flaw: Flaw, n: usize) -> Outcome {
--- a/lab/tests/report.rs
+++ b/lab/tests/report.rs
@@ -1,10 +1,10 @@
 //! The page about a run stands by itself, and tells what was found.
 
-use dilljunction_lab::agents::Subject;
-use dilljunction_lab::broken::Flaw;
-use dilljunction_lab::live::verdict;
-use dilljunction_lab::report::page;
-use dilljunction_lab::run::{run, Outcome};
+use dilljunction_lab::show::live::verdict;
+use dilljunction_lab::show::report::page;
+use dilljunction_lab::world::agents::Subject;
+use dilljunction_lab::world::broken::Flaw;
+use dilljunction_lab::world::run::{run, Outcome};
 use dilljunction_lab::world::World;
 
 const WORLD: &str = "about = 'one & <two>'
--- a/src/api.rs
+++ b/src/api.rs
@@ -592,6 +592,59 @@
     },
 }
 
+/// Why a request was given up; its number in [`Reason::ALL`] is its place in tables of counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// The settings have no such class.
+    NoSuchClass,
+    /// It came with too little time left for its class's usual answer.
+    TooLate,
+    /// No server may be sent to: the list names none, or all are suspect.
+    NobodyOpen,
+    /// The servers' room was left to requests of more worth, or there was none, and it could not wait for any.
+    NoRoom,
+    /// It waited for room until it could no longer be answered in time.
+    WaitedOut,
+    /// Too many were waiting already.
+    QueueFull,
+    /// An attempt failed, and no time was left for another.
+    FailedLate,
+    /// An attempt failed, and the rules allow no other: it may have run, or all its attempts are used up.
+    NoMoreAllowed,
+    /// An attempt failed, and what is earned for retries is used up.
+    RetriesSpent,
+}
+
+impl Reason {
+    /// All of them, in order.
+    pub const ALL: [Reason; 9] = [
+        Reason::NoSuchClass,
+        Reason::TooLate,
+        Reason::NobodyOpen,
+        Reason::NoRoom,
+        Reason::WaitedOut,
+        Reason::QueueFull,
+        Reason::FailedLate,
+        Reason::NoMoreAllowed,
+        Reason::RetriesSpent,
+    ];
+
+    /// Its name in logs and tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::NoSuchClass => "no-such-class",
+            Reason::TooLate => "too-late",
+            Reason::NobodyOpen => "nobody-open",
+            Reason::NoRoom => "no-room",
+            Reason::WaitedOut => "waited-out",
+            Reason::QueueFull => "queue-full",
+            Reason::FailedLate => "failed-late",
+            Reason::NoMoreAllowed => "no-more-allowed",
+            Reason::RetriesSpent => "retries-spent",
+        }
+    }
+}
+
 /// What the balancer wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -617,11 +670,15 @@
         request: RequestId,
         /// When a new try makes sense, if that is known.
         retry_after: Option<Span>,
+        /// What for.
+        reason: Reason,
     },
     /// Final answer: failed, with no promise about its effect.
     Fail {
         /// The request.
         request: RequestId,
+        /// What for.
+        reason: Reason,
     },
     /// Wake the balancer at this time; timers are not unset.
     SetTimer {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -313,7 +313,7 @@
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let Some(class) = self.settings.classes.get(request.class.0) else {
-            out.push(Action::Refuse { request: id, retry_after: None });
+            out.push(Action::Refuse { request: id, retry_after: None, reason: Reason::NoSuchClass });
             return;
         };
         if self.live.contains_key(&id) {
@@ -340,7 +340,7 @@
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
         if hopeless {
-            self.end(now, id, out);
+            self.end(now, id, Reason::TooLate, out);
         } else if !self.place(now, id, out) {
             self.hold(now, id, out);
         }
@@ -375,7 +375,7 @@
     /// Keeps a request for later, or ends it if that is hopeless.
     fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         if self.held.len() >= HELD_MOST {
-            self.end(now, id, out);
+            self.end(now, id, Reason::QueueFull, out);
             return;
         }
         self.held.insert(0, id);
@@ -460,7 +460,7 @@
             candidates.retain(|&c| told(c) && self.open_to(now, request, c));
             match self.choose(now, request, &candidates, out) {
                 true => {}
-                false if last => self.end(now, request, out),
+                false if last => self.end(now, request, Reason::NoRoom, out),
                 false => self.hold(now, request, out),
             }
         }
@@ -711,27 +711,30 @@
         if live.attempts.iter().any(|a| a.fate == Fate::Out) {
             return;
         }
-        let useful = !self.hopeless(now, live);
         // What was turned away pays too, or it would go round a fleet of full servers.
-        if self.lawful(live, now).send != Reach::Nowhere && useful && self.retries >= cost {
+        if self.lawful(live, now).send == Reach::Nowhere {
+            self.end(now, id, Reason::NoMoreAllowed, out);
+        } else if self.hopeless(now, live) {
+            self.end(now, id, Reason::FailedLate, out);
+        } else if self.retries < cost {
+            self.end(now, id, Reason::RetriesSpent, out);
+        } else {
             self.retries -= cost;
             if !self.place(now, id, out) {
                 self.hold(now, id, out);
             }
-        } else {
-            self.end(now, id, out);
         }
     }
 
     /// The final answer from here: a refusal if that is true to the client, else a failure.
-    fn end(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
+    fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
             let advice = self.come_back(now, live.request.class.0);
             let retry_after = self.settings.retry_after.then_some(advice);
-            out.push(Action::Refuse { request: id, retry_after });
+            out.push(Action::Refuse { request: id, retry_after, reason });
         } else {
-            out.push(Action::Fail { request: id });
+            out.push(Action::Fail { request: id, reason });
         }
     }
 
@@ -763,7 +766,9 @@
             let class = live.request.class.0;
             let margin = (WAIT_MARGIN * self.class_pace[class]).min(WAIT_MOST);
             if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
-                self.end(now, id, out);
+                let nobody = self.serving.iter().all(|&i| self.servers[i].suspicion.is_some());
+                let reason = if nobody { Reason::NobodyOpen } else { Reason::WaitedOut };
+                self.end(now, id, reason, out);
                 return false;
             }
             !self.place(now, id, out)
