--- a/src/decide.rs
+++ b/src/decide.rs
@@ -182,6 +182,11 @@
     probed_at: Option<Time>,
     /// When the list first said that it has left.
     gone_at: Option<Time>,
+    /// What others had there by the last report.
+    others: f64,
+    others_at: Option<Time>,
+    /// Requests that it works on side by side without slowing down, by its reports; 0 for unknown.
+    breadth: f64,
 }
 
 impl Server {
@@ -201,6 +206,9 @@
             sent_since: 0,
             probed_at: None,
             gone_at: None,
+            others: 0.0,
+            others_at: None,
+            breadth: 0.0,
         }
     }
 }
@@ -237,6 +245,12 @@
     ask_pause: Span,
     ask_at: Option<Time>,
     tick_at: Time,
+    /// The usual service time by reports, leaning to the quick; 0 for unknown.
+    base_ms: f64,
+    breadth: f64,
+    others: f64,
+    others_at: Time,
+    x: Vec<f64>,
 }
 
 impl Balancer {
@@ -267,6 +281,11 @@
             ask_pause: ASK_AGAIN,
             ask_at: None,
             tick_at: Time(0),
+            base_ms: 0.0,
+            breadth: 0.0,
+            others: 0.0,
+            others_at: Time(0),
+            x: std::env::var("X").unwrap_or_default().split(',').filter_map(|v| v.parse().ok()).collect(),
             settings,
         })
     }
@@ -480,7 +499,45 @@
 
     /// One of many: this balancer's own counts tell next to nothing of what a server bears.
     fn is_light(&self) -> bool {
-        self.settings.probes && self.settings.balancers as usize > 2 * self.serving.len()
+        self.knob(0, 0.0) == 0.0 && self.settings.probes && self.settings.balancers as usize > 2 * self.serving.len()
+    }
+
+    fn knob(&self, n: usize, other: f64) -> f64 {
+        self.x.get(n).copied().unwrap_or(other)
+    }
+
+    fn mean_others(&self, now: Time) -> f64 {
+        self.others * (-now.since(self.others_at).ms() / self.knob(2, 1000.0)).exp()
+    }
+
+    /// What others have at a server.
+    fn others(&self, now: Time, server: usize) -> f64 {
+        let s = &self.servers[server];
+        let w = s.others_at.map_or(0.0, |at| (-now.since(at).ms() / self.knob(1, 500.0)).exp());
+        w * s.others + (1.0 - w) * self.mean_others(now)
+    }
+
+    /// How full a server is for one more request of a class: 1 where its answer would just be in time.
+    fn fullness(&self, now: Time, server: usize, class: usize) -> f64 {
+        let s = &self.servers[server];
+        let breadth = if s.breadth > 0.0 { s.breadth } else { self.breadth };
+        if breadth <= 0.0 {
+            return 0.0;
+        }
+        let load = f64::from(s.in_flight) + self.others(now, server) + 1.0;
+        let aim = self.settings.classes[class].aim.ms();
+        load / (breadth * self.warmth(s, now)) * self.usual(class) / aim
+    }
+
+    /// How full a server may be for a request: the more it is worth for its work, the fuller.
+    fn may_fill(&self, live: &Live) -> f64 {
+        let worth = |c: usize| {
+            self.settings.classes[c].worth / if self.settings.worth_by_work { 1.0 } else { self.usual(c) }
+        };
+        let most = (0..self.settings.classes.len()).map(worth).fold(0.0, f64::max);
+        let over = if live.over_share { self.settings.over_share_worth } else { 1.0 };
+        let part = (worth(live.request.class.0) * over / most).max(1e-3);
+        self.knob(3, 0.8) * (1.0 + self.knob(4, 0.1) * part.ln()).max(0.1)
     }
 
     fn is_known(&self, now: Time, server: usize) -> bool {
@@ -569,6 +626,7 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, server)
+            && (self.knob(0, 0.0) == 0.0 || self.fullness(now, server, live.request.class.0) < self.may_fill(live))
             && s.suspicion.as_ref().is_none_or(|q| !q.on_trial && now >= q.next_trial)
     }
 
@@ -601,6 +659,7 @@
             let told = if known { s.reported + f64::from(s.sent_since) } else { 0.0 };
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
             let load = f64::from(s.in_flight).max(told).max(out);
+            let load = if self.knob(0, 0.0) > 0.0 { load + self.knob(5, 1.0) * self.others(now, c) } else { load };
             let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
             let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
             ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
@@ -856,6 +915,33 @@
     }
 
     fn read_report(&mut self, now: Time, server: usize, report: &Report) {
+        let of = |wanted: ReportField| {
+            let place = self.settings.report_fields.iter().position(|f| *f == wanted)?;
+            report.get(place).copied().filter(|v| v.is_finite() && *v >= 0.0)
+        };
+        if let (Some(queue), Some(rate), Some(ms)) = (of(ReportField::Queue), of(ReportField::Rate), of(ReportField::ServiceTime)) {
+            if ms > 0.0 && rate > 0.0 {
+                if self.base_ms == 0.0 {
+                    self.base_ms = ms;
+                }
+                let gain = if ms < self.base_ms { 0.04 } else { 0.01 };
+                self.base_ms += gain * (ms - self.base_ms);
+                let load = queue + rate * ms / 1e3;
+                let stretch = (queue / rate * 1e3 + ms) / self.base_ms;
+                let s = &mut self.servers[server];
+                let seen = if stretch > 1.3 { Some(rate * self.base_ms / 1e3) } else { (load > s.breadth).then_some(load) };
+                if let Some(seen) = seen {
+                    s.breadth = if s.breadth == 0.0 { seen } else { s.breadth + 0.1 * (seen - s.breadth) }.max(0.1);
+                    self.breadth = if self.breadth == 0.0 { seen } else { self.breadth + 0.05 * (seen - self.breadth) }.max(0.1);
+                }
+                s.others = (load - f64::from(s.in_flight)).max(0.0);
+                s.others_at = Some(now);
+                let others = s.others;
+                self.others = self.mean_others(now);
+                self.others += 0.1 * (others - self.others);
+                self.others_at = now;
+            }
+        }
         let s = &mut self.servers[server];
         for (field, value) in self.settings.report_fields.iter().zip(report) {
             if matches!(field, ReportField::InFlight | ReportField::Queue) && value.is_finite() {
