--- a/lab/src/emulate/agent.rs
+++ b/lab/src/emulate/agent.rs
@@ -394,6 +394,18 @@
         let Flight { agent, server, connection, .. } = self.flights[place];
         let connection = Connection { since: self.now, ..connection };
         self.agents[agent].idle.entry(server).or_default().push(connection);
+        let most = std::env::var("K").ok().and_then(|k| k.parse().ok()).unwrap_or(10_000);
+        let idle = &mut self.agents[agent].idle;
+        if idle.values().map(Vec::len).sum::<usize>() > most {
+            let coldest =
+                idle.iter().filter(|(_, v)| !v.is_empty()).min_by_key(|(_, v)| v[0].since).map(|(s, _)| *s);
+            if let Some(server) = coldest {
+                let connection = self.agents[agent].idle.get_mut(&server).map(|v| v.remove(0));
+                if let Some(connection) = connection {
+                    self.close(server, connection);
+                }
+            }
+        }
     }
 
     /// An attempt or a probe is over for its agent.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,26 +4,27 @@
 //! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
 //! `outcome` learns from the answer and decides what follows, `end` gives the one final answer. `tick` looks
 //! after silent servers, held requests and the list.
+//!
+//! One law holds for few balancers and for many: a server's load is what this one has there and what the others have
+//! by its reports (`src/told.rs`), and a request may go where that leaves its answer in time, the fuller the more it
+//! is worth. Where few send, their own counts carry it; where many do, the reports.
 
 use crate::api::*;
+use crate::told::{Hearsay, Told, Word};
 use std::collections::BTreeMap;
 
 /// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
 const REMEMBERED: usize = 1;
 const DRAWS: usize = 3;
-/// Fresh draws of a light balancer, each of which may cost a probe.
-const DRAWS_LIGHT: usize = 2;
 /// Tries for each fresh draw to hit a server that is open; after that the whole list is gone through.
 const DRAW_TRIES: usize = 8;
-/// A load report or probe speaks for a server this long; a candidate with none is probed by a light balancer.
-const KNOWN: Span = Span(100_000);
+/// What a server told lately needs no probe; a request that knows of none of its candidates has them probed.
+const KNOWN: Span = Span(400_000);
 /// The share of its aim that a request may wait for the probes of its candidates.
 const LOOK: f64 = 0.08;
 /// Load that a probe still out stands for when the look is over, and one that failed or was turned away.
 const PROBE_OUT: f64 = 2.0;
 const PROBE_FAILED: f64 = 8.0;
-/// Looks that find no server with room before a request is given up.
-const LOOKS_MOST: u32 = 2;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
 /// Weight of a new answer in its class's pace; a slower one counts a quarter.
@@ -57,6 +58,12 @@
 const KEYS_MOST: usize = 10_000;
 /// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
 const ALIKE: f64 = 0.25;
+/// A server is full for the requests of most worth where their answers would come at this multiple of their
+/// aim, by the time that they spend there now; and this much earlier for each e-fold less of worth for work.
+const FULL: f64 = 1.2;
+const FULL_LESS: f64 = 0.2;
+/// ... but never so early that a server with nothing to do is full.
+const FULL_LEAST: f64 = 0.2;
 /// What an answer past its aim leaves of a server's limit.
 const LATE_CUT: f64 = 0.85;
 /// A limit in full use grows by this much in the time that it takes to use it once.
@@ -174,19 +181,14 @@
     /// Own requests that it may hold.
     limit: f64,
     suspicion: Option<Suspicion>,
-    /// Load by the last report or probe, when that came, and sends since.
+    /// Requests that wait or are held there by the last report, and sends since.
     reported: f64,
-    reported_at: Option<Time>,
     sent_since: u32,
+    told: Told,
     /// When the probe that is out was sent.
     probed_at: Option<Time>,
     /// When the list first said that it has left.
     gone_at: Option<Time>,
-    /// What others had there by the last report.
-    others: f64,
-    others_at: Option<Time>,
-    /// Requests that it works on side by side without slowing down, by its reports; 0 for unknown.
-    breadth: f64,
 }
 
 impl Server {
@@ -202,13 +204,10 @@
             limit: LIMIT_FIRST,
             suspicion: None,
             reported: 0.0,
-            reported_at: None,
             sent_since: 0,
+            told: Told::default(),
             probed_at: None,
             gone_at: None,
-            others: 0.0,
-            others_at: None,
-            breadth: 0.0,
         }
     }
 }
@@ -240,17 +239,12 @@
     tenant_asked: Vec<f64>,
     counted_at: Time,
     retries: f64,
+    hearsay: Hearsay,
     /// Least time that a probe has taken, by zone: what is over that, it waited.
     round_trip: BTreeMap<ZoneId, Span>,
     ask_pause: Span,
     ask_at: Option<Time>,
     tick_at: Time,
-    /// The usual service time by reports, leaning to the quick; 0 for unknown.
-    base_ms: f64,
-    breadth: f64,
-    others: f64,
-    others_at: Time,
-    x: Vec<f64>,
 }
 
 impl Balancer {
@@ -277,15 +271,11 @@
             tenant_asked: vec![0.0; settings.tenants.len()],
             counted_at: Time(0),
             retries: RETRY_BURST,
+            hearsay: Hearsay::default(),
             round_trip: BTreeMap::new(),
             ask_pause: ASK_AGAIN,
             ask_at: None,
             tick_at: Time(0),
-            base_ms: 0.0,
-            breadth: 0.0,
-            others: 0.0,
-            others_at: Time(0),
-            x: std::env::var("X").unwrap_or_default().split(',').filter_map(|v| v.parse().ok()).collect(),
             settings,
         })
     }
@@ -442,45 +432,42 @@
         self.look(now, id, &candidates, out) || self.choose(now, id, &candidates, out)
     }
 
-    /// Has the candidates of a request probed, if it can wait for that and their load is unknown. A balancer
-    /// that is one of many has hardly a request out: its counts are zero nearly everywhere, and all balancers
-    /// together would place their requests blindly. Where balancers are few, their counts do.
+    /// Has the candidates of a request probed, if it can wait for that and nothing has been heard of any of them
+    /// lately. One balancer of many hears little: all together would place their requests blindly. Where balancers are
+    /// few, or send much, answers tell enough.
     fn look(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
         let live = &self.live[&id];
         let until = now + self.settings.classes[live.request.class.0].aim * LOOK;
-        if !self.is_light() || candidates.is_empty() || until >= live.deadline {
+        let blind = candidates.iter().all(|&c| !self.servers[c].told.is_fresh(now, KNOWN));
+        let may = self.settings.probes && live.picks == 1 && until < live.deadline;
+        if !may || !blind || candidates.is_empty() {
             return false;
         }
         for &c in candidates {
-            if !self.is_known(now, c) && self.servers[c].probed_at.is_none() {
+            if self.servers[c].probed_at.is_none() {
                 self.servers[c].probed_at = Some(now);
                 out.push(Action::Probe { server: self.servers[c].listed.server });
             }
         }
-        let waits = candidates.iter().any(|&c| self.servers[c].probed_at.is_some());
-        if waits {
-            self.looking.push(Look { request: id, candidates: candidates.to_vec(), until });
-            out.push(Action::SetTimer { at: until, timer: LOOKED });
-        }
-        waits
+        self.looking.push(Look { request: id, candidates: candidates.to_vec(), until });
+        out.push(Action::SetTimer { at: until, timer: LOOKED });
+        true
     }
 
-    /// Sends the requests whose look is over to the lightest of their candidates, by what is known now. One
-    /// that finds no room twice is given up: servers beyond what they can do in time serve nobody.
+    /// Sends the requests whose look is over to the lightest of their candidates, by what is known now.
     fn settle(&mut self, now: Time, over: impl Fn(&Look) -> bool, out: &mut Vec<Action>) {
         let (over, looking): (Vec<_>, Vec<_>) = std::mem::take(&mut self.looking).into_iter().partition(over);
         self.looking = looking;
         for Look { request, mut candidates, .. } in over {
-            let Some(live) = self.live.get(&request) else { continue };
-            let last = live.picks >= LOOKS_MOST;
+            if !self.live.contains_key(&request) {
+                continue;
+            }
             // One whose probe is still out is busy or gone: it steps back if another has answered.
             let heard = candidates.iter().any(|&c| self.servers[c].probed_at.is_none());
             let told = |c: usize| !heard || self.servers[c].probed_at.is_none();
             candidates.retain(|&c| told(c) && self.open_to(now, request, c));
-            match self.choose(now, request, &candidates, out) {
-                true => {}
-                false if last => self.end(now, request, Reason::NoRoom, out),
-                false => self.hold(now, request, out),
+            if !self.choose(now, request, &candidates, out) {
+                self.hold(now, request, out);
             }
         }
     }
@@ -497,71 +484,46 @@
         true
     }
 
-    /// One of many: this balancer's own counts tell next to nothing of what a server bears.
-    fn is_light(&self) -> bool {
-        self.knob(0, 0.0) == 0.0 && self.settings.probes && self.settings.balancers as usize > 2 * self.serving.len()
-    }
-
-    fn knob(&self, n: usize, other: f64) -> f64 {
-        self.x.get(n).copied().unwrap_or(other)
-    }
-
-    fn mean_others(&self, now: Time) -> f64 {
-        self.others * (-now.since(self.others_at).ms() / self.knob(2, 1000.0)).exp()
-    }
-
-    /// What others have at a server.
-    fn others(&self, now: Time, server: usize) -> f64 {
+    /// All that a server holds, by own counts and by what it has told.
+    fn load(&self, now: Time, server: usize) -> f64 {
         let s = &self.servers[server];
-        let w = s.others_at.map_or(0.0, |at| (-now.since(at).ms() / self.knob(1, 500.0)).exp());
-        w * s.others + (1.0 - w) * self.mean_others(now)
+        f64::from(s.in_flight) + self.hearsay.others(now, &s.told)
     }
 
-    /// How full a server is for one more request of a class: 1 where its answer would just be in time.
-    fn fullness(&self, now: Time, server: usize, class: usize) -> f64 {
-        let s = &self.servers[server];
-        let breadth = if s.breadth > 0.0 { s.breadth } else { self.breadth };
-        if breadth <= 0.0 {
-            return 0.0;
-        }
-        let load = f64::from(s.in_flight) + self.others(now, server) + 1.0;
-        let aim = self.settings.classes[class].aim.ms();
-        load / (breadth * self.warmth(s, now)) * self.usual(class) / aim
+    /// Whether one more request at a server would be answered in time, and leave room for those of more worth.
+    fn has_told_room(&self, now: Time, server: usize, live: &Live) -> bool {
+        let (s, class) = (&self.servers[server], live.request.class.0);
+        let Some(breadth) = self.hearsay.breadth(&s.told) else { return true };
+        let stretch = (self.load(now, server) + 1.0) / (breadth * self.warmth(s, now));
+        stretch * self.usual(class) < self.settings.classes[class].aim.ms() * self.may_fill(live)
     }
 
-    /// How full a server may be for a request: the more it is worth for its work, the fuller.
+    /// How full a server may be for a request: the more that is worth for its work, the fuller.
     fn may_fill(&self, live: &Live) -> f64 {
-        let worth = |c: usize| {
-            self.settings.classes[c].worth / if self.settings.worth_by_work { 1.0 } else { self.usual(c) }
-        };
-        let most = (0..self.settings.classes.len()).map(worth).fold(0.0, f64::max);
+        let classes = &self.settings.classes;
+        let by_work = self.settings.worth_by_work;
+        let worth = |c: usize| classes[c].worth / if by_work { 1.0 } else { self.usual(c) };
+        let most = (0..classes.len()).map(worth).fold(f64::MIN_POSITIVE, f64::max);
         let over = if live.over_share { self.settings.over_share_worth } else { 1.0 };
-        let part = (worth(live.request.class.0) * over / most).max(1e-3);
-        self.knob(3, 0.8) * (1.0 + self.knob(4, 0.1) * part.ln()).max(0.1)
+        let part = (worth(live.request.class.0) * over / most).clamp(1e-3, 1.0);
+        (FULL * (1.0 + FULL_LESS * part.ln())).max(FULL_LEAST)
     }
 
-    fn is_known(&self, now: Time, server: usize) -> bool {
-        self.servers[server].reported_at.is_some_and(|at| now.since(at) < KNOWN)
-    }
-
-    /// The load at which one request more would be answered past its aim: each in line adds about the usual
-    /// answer time of a quiet server.
-    fn most_told(&self) -> f64 {
-        let most = |c: usize| self.settings.classes[c].aim.ms() / self.usual(c);
-        (0..self.settings.classes.len()).map(most).fold(f64::INFINITY, f64::min).max(1.0)
-    }
-
-    /// What a probe says of a server's load: its report, and the time it had to wait there.
+    /// What a probe says of a server's load: its report or, without one, the time that it had to wait there.
     fn probed(&mut self, now: Time, server: usize, failed: bool, elapsed: Span, out: &mut Vec<Action>) {
         let usual = (0..self.settings.classes.len()).map(|c| self.usual(c)).fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[server];
         let least = self.round_trip.entry(s.listed.zone).or_insert(elapsed);
         *least = elapsed.min(*least);
-        let load = elapsed.less(*least).ms() / usual + if failed { PROBE_FAILED } else { 0.0 };
-        let told = if s.reported_at == Some(now) { s.reported } else { 0.0 };
-        (s.reported, s.reported_at, s.sent_since, s.probed_at) = (load.max(told), Some(now), 0, None);
-        let idle = s.reported < 0.5;
+        s.probed_at = None;
+        if failed {
+            s.told.guess(now, PROBE_FAILED);
+        } else if !s.told.is_fresh(now, Span(1)) {
+            s.told.guess(now, elapsed.less(*least).ms() / usual);
+        }
         let out_still = |&c: &usize| self.servers[c].probed_at.is_some();
+        // One that has nothing to do is as light as any.
+        let idle = self.load(now, server) < 0.5;
         let over =
             |l: &&Look| l.candidates.contains(&server) && (idle || !l.candidates.iter().any(out_still));
         let done: Vec<RequestId> = self.looking.iter().filter(over).map(|l| l.request).collect();
@@ -571,7 +533,6 @@
     /// The remembered servers that are open to a request, and fresh uniform draws from all that are. One that
     /// it has tried comes in only if there is no other.
     fn candidates(&mut self, now: Time, id: RequestId) -> Vec<usize> {
-        let draws = if self.is_light() { DRAWS_LIGHT } else { DRAWS };
         let Some(live) = self.live.get_mut(&id) else { return Vec::new() };
         live.picks += 1;
         let first = live.picks == 1;
@@ -581,15 +542,15 @@
         let known =
             known.filter(|i| !tries.contains(i) && !self.is_cold(now, *i) && self.open_to(now, id, *i));
         let mut candidates: Vec<usize> = known.collect();
-        let all = candidates.len() + draws;
+        let all = candidates.len() + DRAWS;
         let all_cold = self.serving.iter().all(|&i| self.is_cold(now, i));
-        for _ in 0..draws {
+        for _ in 0..DRAWS {
             for turn in 0..DRAW_TRIES.min(self.serving.len()) {
                 let i = self.serving[self.rng.usize(0..self.serving.len())];
                 // All balancers together must not push a cold server over: even if it wins every pick it is
                 // drawn for, it gets its warmth's part of a warm one's load. What waits has no second roll.
                 let warmth = self.warmth(&self.servers[i], now);
-                let chance = warmth / draws as f64;
+                let chance = warmth / DRAWS as f64;
                 let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
                 if !shut && !tries.contains(&i) && self.open_to(now, id, i) {
                     candidates.push(i);
@@ -626,21 +587,18 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, server)
-            && (self.knob(0, 0.0) == 0.0 || self.fullness(now, server, live.request.class.0) < self.may_fill(live))
+            && self.has_told_room(now, server, live)
             && s.suspicion.as_ref().is_none_or(|q| !q.on_trial && now >= q.next_trial)
     }
 
-    /// Room by the reported load or, where balancers are few, by the learned limit.
+    /// Room by the limit on own requests that is learned from answers.
     fn has_room(&self, now: Time, server: usize) -> bool {
         let s = &self.servers[server];
-        if self.is_light() {
-            return !self.is_known(now, server) || s.reported + f64::from(s.sent_since) < self.most_told();
-        }
         f64::from(s.in_flight) < (s.limit * self.warmth(s, now)).max(1.0)
     }
 
-    /// The candidate with the least load: own requests in flight or, if light, what was told of it
-    /// if that is more; scaled by a slow machine, a priced crossing, a key unknown there. A coin is last.
+    /// The candidate with the least load, scaled by a slow machine, a priced crossing, a key unknown there. A coin
+    /// is last.
     fn lightest(
         &mut self,
         now: Time,
@@ -655,11 +613,8 @@
             let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
             let gain = if warm == Some(c) { WARM } else { 1.0 };
             // A suspect drawn for its trial goes first: by its own record it would never be tried.
-            let known = self.is_light() && self.is_known(now, c) && s.probed_at.is_none();
-            let told = if known { s.reported + f64::from(s.sent_since) } else { 0.0 };
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
-            let load = f64::from(s.in_flight).max(told).max(out);
-            let load = if self.knob(0, 0.0) > 0.0 { load + self.knob(5, 1.0) * self.others(now, c) } else { load };
+            let load = self.load(now, c).max(out);
             let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
             let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
             ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
@@ -680,11 +635,9 @@
     }
 
     fn send(&mut self, now: Time, id: RequestId, class: usize, server: usize, out: &mut Vec<Action>) {
-        let in_time = self.is_light() && self.settings.classes[class].late_worth == 0.0;
         let Some(live) = self.live.get_mut(&id) else { return };
-        // Where a late answer is worth nothing, what waits past its aim only holds up the server's queue. Few
-        // balancers keep the deadline: their counts would lose sight of work that goes on.
-        let timeout_at = if in_time { live.wanted_by.max(now) } else { live.deadline };
+        // The deadline and no earlier: what is called off goes on at the server, and counts would lose sight of it.
+        let timeout_at = live.deadline;
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
         let (zone, cell) = (s.listed.zone, s.listed.cell);
@@ -915,41 +868,14 @@
     }
 
     fn read_report(&mut self, now: Time, server: usize, report: &Report) {
-        let of = |wanted: ReportField| {
-            let place = self.settings.report_fields.iter().position(|f| *f == wanted)?;
-            report.get(place).copied().filter(|v| v.is_finite() && *v >= 0.0)
-        };
-        if let (Some(queue), Some(rate), Some(ms)) = (of(ReportField::Queue), of(ReportField::Rate), of(ReportField::ServiceTime)) {
-            if ms > 0.0 && rate > 0.0 {
-                if self.base_ms == 0.0 {
-                    self.base_ms = ms;
-                }
-                let gain = if ms < self.base_ms { 0.04 } else { 0.01 };
-                self.base_ms += gain * (ms - self.base_ms);
-                let load = queue + rate * ms / 1e3;
-                let stretch = (queue / rate * 1e3 + ms) / self.base_ms;
-                let s = &mut self.servers[server];
-                let seen = if stretch > 1.3 { Some(rate * self.base_ms / 1e3) } else { (load > s.breadth).then_some(load) };
-                if let Some(seen) = seen {
-                    s.breadth = if s.breadth == 0.0 { seen } else { s.breadth + 0.1 * (seen - s.breadth) }.max(0.1);
-                    self.breadth = if self.breadth == 0.0 { seen } else { self.breadth + 0.05 * (seen - self.breadth) }.max(0.1);
-                }
-                s.others = (load - f64::from(s.in_flight)).max(0.0);
-                s.others_at = Some(now);
-                let others = s.others;
-                self.others = self.mean_others(now);
-                self.others += 0.1 * (others - self.others);
-                self.others_at = now;
-            }
-        }
+        let word = Word::read(&self.settings.report_fields, report);
+        let classes = self.settings.classes.len();
+        let usual = (0..classes).map(|c| self.usual(c)).sum::<f64>() / classes as f64;
         let s = &mut self.servers[server];
-        for (field, value) in self.settings.report_fields.iter().zip(report) {
-            if matches!(field, ReportField::InFlight | ReportField::Queue) && value.is_finite() {
-                s.reported = value.clamp(0.0, 1e6);
-                s.reported_at = Some(now);
-                s.sent_since = 0;
-            }
+        if let Some(reported) = word.in_flight.or(word.queue) {
+            (s.reported, s.sent_since) = (reported, 0);
         }
+        self.hearsay.hear(now, &mut s.told, &word, f64::from(s.in_flight), usual);
     }
 
     // ---- the list and the clock ---------------------------------------------------------------------
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 mod api;
 mod decide;
+mod told;
 
 pub use api::*;
 pub use decide::Balancer;
--- /dev/null
+++ b/src/told.rs
@@ -0,0 +1,213 @@
+//! What servers tell of their load, and how far that is still to be believed. No decision is made here.
+//!
+//! A report says how many requests wait, how many a second are put to work and how long each then takes. By Little's law
+//! (L = rate x time) that gives all that the server holds, whoever sent it. A report ages: what the others have at a server
+//! is believed the less the older it is, and what takes its place is what others have at servers on the whole, which itself
+//! fades once nothing is heard. So no estimate stands for ever, and none can keep a server shut.
+
+use crate::api::{Report, ReportField, Span, Time};
+
+/// A report is believed to 1/e after this: a server's load turns over about as fast.
+const AGE: Span = Span(500_000);
+/// And the mean of all of them after this, if no other comes.
+const MEAN_AGE: Span = Span(1_000_000);
+/// Weight of a new report in the mean of what others have.
+const MEAN_GAIN: f64 = 0.1;
+/// Weight of a new report in the usual service time; a slower one counts a quarter, so that a crowd is not usual.
+const USUAL_GAIN: f64 = 0.04;
+/// Weight of a new report in a server's breadth, and in that of servers on the whole.
+const BREADTH_GAIN: f64 = 0.1;
+const BREADTH_MEAN_GAIN: f64 = 0.05;
+/// Below this multiple of the usual time requests hardly stand in each other's way, or it is chance.
+const PLAIN: f64 = 2.0;
+/// Whatever the reports say, a server can work on one request at a time: without this bound a few odd reports would make
+/// it look too narrow for any request, and with none sent no other report would come.
+const BREADTH_LEAST: f64 = 1.0;
+
+/// The figures of a report that say something of load.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct Word {
+    /// Requests that it holds.
+    pub in_flight: Option<f64>,
+    /// Requests that wait in it.
+    pub queue: Option<f64>,
+    rate: Option<f64>,
+    service_ms: Option<f64>,
+}
+
+impl Word {
+    /// Reads a report whose values stand in the order of these fields; what is no figure is left out.
+    pub fn read(fields: &[ReportField], report: &Report) -> Word {
+        let mut word = Word::default();
+        for (field, value) in fields.iter().zip(report).filter(|(_, v)| v.is_finite()) {
+            let value = Some(value.clamp(0.0, 1e6));
+            match field {
+                ReportField::InFlight => word.in_flight = value,
+                ReportField::Queue => word.queue = value,
+                ReportField::Rate => word.rate = value,
+                ReportField::ServiceTime => word.service_ms = value,
+                _ => {}
+            }
+        }
+        word
+    }
+
+    /// All that the server holds, and the time that a request spends there now if that can be told.
+    fn load(&self) -> Option<(f64, Option<f64>)> {
+        let waits = self.queue.unwrap_or(0.0);
+        match (self.rate, self.service_ms) {
+            (Some(rate), Some(service)) if rate > 0.0 && service > 0.0 => {
+                let running = rate * service / 1e3;
+                let time = service + waits / rate * 1e3;
+                Some((self.in_flight.unwrap_or(waits + running), Some(time)))
+            }
+            _ => self.in_flight.or(self.queue).map(|load| (load, None)),
+        }
+    }
+}
+
+/// What one server has told.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Told {
+    /// What others had there, and when that was heard.
+    others: f64,
+    at: Option<Time>,
+    /// How many requests it works on side by side before they slow each other down; 0 if that is unknown.
+    breadth: f64,
+}
+
+impl Told {
+    /// True if it has told something lately.
+    pub fn is_fresh(&self, now: Time, within: Span) -> bool {
+        self.at.is_some_and(|at| now.since(at) < within)
+    }
+
+    /// Others have so many requests there, by another sign than a report.
+    pub fn guess(&mut self, now: Time, others: f64) {
+        (self.others, self.at) = (others, Some(now));
+    }
+}
+
+/// What all servers have told, taken together.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Hearsay {
+    others: f64,
+    at: Time,
+    breadth: f64,
+    /// The usual time of a request, leaning to the quick; 0 if none is known.
+    usual_ms: f64,
+}
+
+impl Hearsay {
+    /// Takes in a server's word. `own` requests of this balancer are there; `usual_ms` is its own guess at the usual time,
+    /// for the first word of all.
+    pub fn hear(&mut self, now: Time, told: &mut Told, word: &Word, own: f64, usual_ms: f64) {
+        let Some((load, time)) = word.load() else { return };
+        if let (Some(time), Some(service)) = (time, word.service_ms) {
+            self.learn_breadth(told, load, time, service, usual_ms);
+        }
+        told.guess(now, (load - own).max(0.0));
+        self.others = self.mean(now) + MEAN_GAIN * (told.others - self.mean(now));
+        self.at = now;
+    }
+
+    fn learn_breadth(&mut self, told: &mut Told, load: f64, time: f64, service: f64, usual_ms: f64) {
+        if self.usual_ms == 0.0 {
+            self.usual_ms = usual_ms.max(0.001);
+        }
+        let gain = if service < self.usual_ms { USUAL_GAIN } else { USUAL_GAIN / 4.0 };
+        self.usual_ms += gain * (service - self.usual_ms);
+        let stretch = time / self.usual_ms;
+        let seen = if stretch > PLAIN { load / stretch } else { (load / PLAIN).max(told.breadth) };
+        let lean = |figure: &mut f64, gain: f64| {
+            *figure = if *figure == 0.0 { seen } else { *figure + gain * (seen - *figure) };
+            *figure = figure.max(BREADTH_LEAST);
+        };
+        lean(&mut told.breadth, BREADTH_GAIN);
+        lean(&mut self.breadth, BREADTH_MEAN_GAIN);
+    }
+
+    fn mean(&self, now: Time) -> f64 {
+        self.others * fading(now.since(self.at), MEAN_AGE)
+    }
+
+    /// What others have at a server, by all that has been told.
+    pub fn others(&self, now: Time, told: &Told) -> f64 {
+        let belief = told.at.map_or(0.0, |at| fading(now.since(at), AGE));
+        belief * told.others + (1.0 - belief) * self.mean(now)
+    }
+
+    /// How many requests a server works on side by side; `None` if no server has told.
+    pub fn breadth(&self, told: &Told) -> Option<f64> {
+        [told.breadth, self.breadth].into_iter().find(|b| *b > 0.0)
+    }
+}
+
+fn fading(age: Span, length: Span) -> f64 {
+    (-age.ms() / length.ms()).exp()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FIELDS: [ReportField; 4] =
+        [ReportField::Rate, ReportField::ServiceTime, ReportField::Errors, ReportField::Queue];
+
+    fn at(ms: f64) -> Time {
+        Time::from_ms(ms)
+    }
+
+    #[test]
+    fn a_report_tells_all_that_a_server_holds() {
+        let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+        let word = Word::read(&FIELDS, &[50.0, 240.0, 0.0, 5.0]);
+        hearsay.hear(at(0.0), &mut told, &word, 2.0, 60.0);
+        // 50 a second for 240 ms are 12 at work, and 5 wait; 2 are our own.
+        assert!((hearsay.others(at(0.0), &told) - 15.0).abs() < 1e-9);
+        // 340 ms in place of some 60: three work side by side.
+        let breadth = hearsay.breadth(&told).expect("told");
+        assert!((2.5..3.6).contains(&breadth), "{breadth}");
+    }
+
+    #[test]
+    fn a_word_ages_towards_the_mean_and_the_mean_towards_nothing() {
+        let (mut hearsay, mut busy) = (Hearsay::default(), Told::default());
+        let mut random = fastrand::Rng::with_seed(1);
+        for n in 0..100 {
+            let word = Word { in_flight: Some(10.0 * random.f64()), ..Word::default() };
+            hearsay.hear(at(f64::from(n)), &mut Told::default(), &word, 0.0, 60.0);
+        }
+        let word = Word { in_flight: Some(30.0), ..Word::default() };
+        hearsay.hear(at(100.0), &mut busy, &word, 0.0, 60.0);
+        let after = |ms: f64| hearsay.others(at(100.0 + ms), &busy);
+        assert!(after(0.0) > 29.0 && after(500.0) < 20.0 && after(500.0) > 10.0);
+        assert!(after(10_000.0) < 0.01, "{}", after(10_000.0));
+        assert!(hearsay.others(at(100.0), &Told::default()) < 9.0);
+    }
+
+    /// What closed agents for good in the lab: odd reports in a row made a server look too narrow for one request.
+    #[test]
+    fn no_reports_make_a_server_too_narrow_for_one_request() {
+        let mut random = fastrand::Rng::with_seed(7);
+        for _ in 0..1000 {
+            let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+            for n in 0..200 {
+                let mut figure = || 10f64.powf(12.0 * random.f64() - 6.0);
+                let word = Word::read(&FIELDS, &[figure(), figure(), figure(), figure()]);
+                hearsay.hear(at(f64::from(n)), &mut told, &word, 3.0, 60.0);
+                assert!(hearsay.breadth(&told).is_none_or(|b| b >= BREADTH_LEAST && b.is_finite()));
+                assert!((0.0..=2e9).contains(&hearsay.others(at(f64::from(n)), &told)));
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_no_figure_is_left_out() {
+        let word = Word::read(&FIELDS, &[f64::NAN, -3.0, 0.0, f64::INFINITY]);
+        assert_eq!(word, Word { service_ms: Some(0.0), ..Word::default() });
+        let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+        hearsay.hear(at(0.0), &mut told, &word, 0.0, 60.0);
+        assert!(!told.is_fresh(at(0.0), Span(1)) && hearsay.breadth(&told).is_none());
+    }
+}
