--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,10 +58,11 @@
 const KEYS_MOST: usize = 10_000;
 /// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
 const ALIKE: f64 = 0.25;
-/// A server is full for the requests of most worth where their answers would come at this multiple of their
-/// aim, by the time that they spend there now; and this much earlier for each e-fold less of worth for work.
+/// By what servers tell, one is full for the requests of most worth where their answers would come at this
+/// multiple of their aim; and by this much earlier for each e-fold less of worth, so that what is worth least
+/// is shed first. Between classes only the root of their worth counts: the class served worst counts too.
 const FULL: f64 = 1.2;
-const FULL_LESS: f64 = 0.2;
+const FULL_LESS: f64 = 0.25;
 /// ... but never so early that a server with nothing to do is full.
 const FULL_LEAST: f64 = 0.2;
 /// What an answer past its aim leaves of a server's limit.
@@ -146,6 +147,14 @@
     picks: u32,
 }
 
+/// What a request asks of a server now, reckoned once for all servers that are looked at for it.
+#[derive(Clone, Copy)]
+struct Ask {
+    reach: Reach,
+    /// A server where requests take longer than this multiple of their usual time is full for it.
+    stretch: f64,
+}
+
 /// A request whose candidates are being probed, and how long it waits for them.
 struct Look {
     request: RequestId,
@@ -465,7 +474,8 @@
             // One whose probe is still out is busy or gone: it steps back if another has answered.
             let heard = candidates.iter().any(|&c| self.servers[c].probed_at.is_none());
             let told = |c: usize| !heard || self.servers[c].probed_at.is_none();
-            candidates.retain(|&c| told(c) && self.open_to(now, request, c));
+            let ask = self.ask(now, &self.live[&request]);
+            candidates.retain(|&c| told(c) && self.open_to(now, &ask, c));
             if !self.choose(now, request, &candidates, out) {
                 self.hold(now, request, out);
             }
@@ -484,6 +494,11 @@
         true
     }
 
+    /// How far this balancer goes by what servers tell; 1 for one of very many.
+    fn of_others(&self, now: Time) -> f64 {
+        self.hearsay.of_others(now, self.serving.len(), self.settings.balancers)
+    }
+
     /// All that a server holds, by own counts and by what it has told.
     fn load(&self, now: Time, server: usize) -> f64 {
         let s = &self.servers[server];
@@ -491,22 +506,23 @@
     }
 
     /// Whether one more request at a server would be answered in time, and leave room for those of more worth.
-    fn has_told_room(&self, now: Time, server: usize, live: &Live) -> bool {
-        let (s, class) = (&self.servers[server], live.request.class.0);
+    fn has_told_room(&self, now: Time, server: usize, stretch: f64) -> bool {
+        let s = &self.servers[server];
         let Some(breadth) = self.hearsay.breadth(&s.told) else { return true };
-        let stretch = (self.load(now, server) + 1.0) / (breadth * self.warmth(s, now));
-        stretch * self.usual(class) < self.settings.classes[class].aim.ms() * self.may_fill(live)
+        self.load(now, server) + 1.0 < stretch * breadth * self.warmth(s, now)
     }
 
-    /// How full a server may be for a request: the more that is worth for its work, the fuller.
-    fn may_fill(&self, live: &Live) -> f64 {
-        let classes = &self.settings.classes;
+    /// What a request asks of a server: the more it is worth for its work, the fuller that may be.
+    fn ask(&self, now: Time, live: &Live) -> Ask {
+        let (classes, class) = (&self.settings.classes, live.request.class.0);
         let by_work = self.settings.worth_by_work;
         let worth = |c: usize| classes[c].worth / if by_work { 1.0 } else { self.usual(c) };
         let most = (0..classes.len()).map(worth).fold(f64::MIN_POSITIVE, f64::max);
         let over = if live.over_share { self.settings.over_share_worth } else { 1.0 };
-        let part = (worth(live.request.class.0) * over / most).clamp(1e-3, 1.0);
-        (FULL * (1.0 + FULL_LESS * part.ln())).max(FULL_LEAST)
+        let part = ((worth(class) / most).powf(0.4) * over).clamp(1e-3, 1.0);
+        let full = FULL / self.of_others(now) * (1.0 + FULL_LESS * part.ln());
+        let stretch = full.max(FULL_LEAST) * classes[class].aim.ms() / self.usual(class);
+        Ask { reach: self.lawful(live, now).send, stretch }
     }
 
     /// What a probe says of a server's load: its report or, without one, the time that it had to wait there.
@@ -538,9 +554,10 @@
         let first = live.picks == 1;
         let tries: Vec<usize> = live.attempts.iter().map(|a| a.server).collect();
         let warm = live.request.key.and_then(|k| self.warm.get(&k));
+        let ask = self.ask(now, &self.live[&id]);
         let known = self.memory.iter().chain(warm).copied();
         let known =
-            known.filter(|i| !tries.contains(i) && !self.is_cold(now, *i) && self.open_to(now, id, *i));
+            known.filter(|i| !tries.contains(i) && !self.is_cold(now, *i) && self.open_to(now, &ask, *i));
         let mut candidates: Vec<usize> = known.collect();
         let all = candidates.len() + DRAWS;
         let all_cold = self.serving.iter().all(|&i| self.is_cold(now, i));
@@ -552,7 +569,7 @@
                 let warmth = self.warmth(&self.servers[i], now);
                 let chance = warmth / DRAWS as f64;
                 let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
-                if !shut && !tries.contains(&i) && self.open_to(now, id, i) {
+                if !shut && !tries.contains(&i) && self.open_to(now, &ask, i) {
                     candidates.push(i);
                     break;
                 }
@@ -560,7 +577,7 @@
         }
         if candidates.len() < all {
             // Few are open: draw from a list of them.
-            let open = self.serving.iter().copied().filter(|&i| self.open_to(now, id, i));
+            let open = self.serving.iter().copied().filter(|&i| self.open_to(now, &ask, i));
             let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| tries.contains(i));
             let mut pool = if fresh.is_empty() && candidates.is_empty() { again } else { fresh };
             pool.retain(|&i| all_cold || !self.is_cold(now, i));
@@ -576,9 +593,9 @@
     }
 
     /// Whether a server may be sent a request now: by rules, list, room and suspicion.
-    fn open_to(&self, now: Time, id: RequestId, server: usize) -> bool {
-        let (s, live) = (&self.servers[server], &self.live[&id]);
-        let lawful = match self.lawful(live, now).send {
+    fn open_to(&self, now: Time, ask: &Ask, server: usize) -> bool {
+        let s = &self.servers[server];
+        let lawful = match ask.reach {
             Reach::Nowhere => false,
             Reach::Anywhere => true,
             Reach::Zone(zone) => s.listed.zone == zone,
@@ -587,8 +604,8 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, server)
-            && self.has_told_room(now, server, live)
             && s.suspicion.as_ref().is_none_or(|q| !q.on_trial && now >= q.next_trial)
+            && self.has_told_room(now, server, ask.stretch)
     }
 
     /// Room by the limit on own requests that is learned from answers.
@@ -606,6 +623,7 @@
         warm: Option<usize>,
         heavy: f64,
     ) -> Option<usize> {
+        let weight = self.of_others(now).powi(2);
         let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
         let key = |c: usize, coin: u32| {
@@ -614,7 +632,7 @@
             let gain = if warm == Some(c) { WARM } else { 1.0 };
             // A suspect drawn for its trial goes first: by its own record it would never be tried.
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
-            let load = self.load(now, c).max(out);
+            let load = (f64::from(s.in_flight) + weight * self.hearsay.others(now, &s.told)).max(out);
             let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
             let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
             ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
@@ -644,6 +662,7 @@
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
         s.in_flight += 1;
         s.sent_since += 1;
+        self.hearsay.send(now);
         let trial = match &mut s.suspicion {
             Some(q) => {
                 q.on_trial = true;
@@ -792,6 +811,7 @@
 
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
         let aim = self.settings.classes[flight.class].aim.ms();
+        let load = self.load(now, flight.server) + 1.0;
         let s = &mut self.servers[flight.server];
         let used = match outcome {
             // Late is late: one costly request must not weigh like ten.
@@ -806,7 +826,9 @@
                 s.failures = 0;
                 s.last_answer = now;
                 lean(&mut self.class_pace[flight.class], used);
-                lean(&mut s.stretch, (used / self.class_pace[flight.class].max(0.001)).clamp(0.05, 8.0));
+                let stretch = (used / self.class_pace[flight.class].max(0.001)).clamp(0.05, 8.0);
+                lean(&mut s.stretch, stretch);
+                self.hearsay.answered(&mut s.told, load, stretch);
             }
             // A full server is no sick one: it is only sent less.
             Outcome::Rejected => s.last_answer = now,
