--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -354,7 +354,7 @@
             let (id, answer) = submit(&driver);
             driver.perform(vec![
                 Action::Fail { request: id, reason: Reason::FailedLate },
-                Action::Refuse { request: id, retry_after: None, reason: Reason::NoRoom },
+                Action::Refuse { request: id, retry_after: None, reason: Reason::WaitedOut },
             ]);
             assert!(matches!(answer.await, Ok(Answer::Failed)));
             driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
--- a/src/api.rs
+++ b/src/api.rs
@@ -601,9 +601,7 @@
     TooLate,
     /// No server may be sent to: the list names none, or all are suspect.
     NobodyOpen,
-    /// The servers' room was left to requests of more worth, or there was none, and it could not wait for any.
-    NoRoom,
-    /// It waited for room until it could no longer be answered in time.
+    /// It waited for room, also for what is left to requests of more worth, until it could no longer be answered in time.
     WaitedOut,
     /// Too many were waiting already.
     QueueFull,
@@ -617,11 +615,10 @@
 
 impl Reason {
     /// All of them, in order.
-    pub const ALL: [Reason; 9] = [
+    pub const ALL: [Reason; 8] = [
         Reason::NoSuchClass,
         Reason::TooLate,
         Reason::NobodyOpen,
-        Reason::NoRoom,
         Reason::WaitedOut,
         Reason::QueueFull,
         Reason::FailedLate,
@@ -635,7 +632,6 @@
             Reason::NoSuchClass => "no-such-class",
             Reason::TooLate => "too-late",
             Reason::NobodyOpen => "nobody-open",
-            Reason::NoRoom => "no-room",
             Reason::WaitedOut => "waited-out",
             Reason::QueueFull => "queue-full",
             Reason::FailedLate => "failed-late",
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -623,7 +623,7 @@
         warm: Option<usize>,
         heavy: f64,
     ) -> Option<usize> {
-        let weight = self.of_others(now).powi(2);
+        let weight = self.of_others(now);
         let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
         let key = |c: usize, coin: u32| {
@@ -634,7 +634,8 @@
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
             let load = (f64::from(s.in_flight) + weight * self.hearsay.others(now, &s.told)).max(out);
             let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
-            let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
+            let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln()
+                + weight * self.hearsay.narrowness(&s.told).ln();
             ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
         };
         candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
--- a/src/told.rs
+++ b/src/told.rs
@@ -26,9 +26,11 @@
 /// Own sends are counted over about this long.
 const SENT: Span = Span(3_000_000);
 /// What a share of own requests counts for against what servers tell: with a thirtieth of all requests the two weigh alike.
-const OWN_WEIGHT: f64 = 30.0;
+const OWN_WEIGHT: f64 = 12.0;
 /// Below this multiple of the usual time requests hardly stand in each other's way, or it is chance.
 const PLAIN: f64 = 2.0;
+/// What is told of a server's breadth counts for this much against that of the others at the most.
+const NARROW_MOST: f64 = 8.0;
 /// Whatever the reports say, a server can work on one request at a time: without this bound a few odd reports would make
 /// it look too narrow for any request, and with none sent no other report would come.
 const BREADTH_LEAST: f64 = 1.0;
@@ -152,13 +154,15 @@
     }
 
     fn learn_breadth(&mut self, told: &mut Told, load: f64, stretch: f64) {
-        let seen = if stretch > PLAIN { load / stretch } else { (load / PLAIN).max(told.breadth) };
-        let lean = |figure: &mut f64, gain: f64| {
-            *figure = if *figure == 0.0 { seen } else { *figure + gain * (seen - *figure) };
-            *figure = figure.max(BREADTH_LEAST);
-        };
-        lean(&mut told.breadth, BREADTH_GAIN);
-        lean(&mut self.breadth, BREADTH_MEAN_GAIN);
+        let told_much = stretch > PLAIN || load / PLAIN > self.breadth;
+        let seen = if stretch > PLAIN { load / stretch } else { load / PLAIN };
+        if told_much {
+            self.breadth = leaned(self.breadth, seen, BREADTH_MEAN_GAIN);
+        }
+        // One that is not stretched has shown nothing of its bounds, and is taken for one like the others: by its own low
+        // load it would look narrow, be sent little for that, and stay so.
+        let seen = if told_much { seen } else { self.breadth.max(seen) };
+        told.breadth = leaned(told.breadth, seen, BREADTH_GAIN);
     }
 
     fn mean(&self, now: Time) -> f64 {
@@ -184,7 +188,16 @@
         let own = self.sent * fading(now.since(self.sent_at), SENT) / (SENT.ms() / 1e3);
         let all = self.rate * servers as f64;
         let share = if all > 0.0 { (own / all).min(1.0) } else { 1.0 / f64::from(balancers.max(1)) };
-        1.0 / (1.0 + OWN_WEIGHT * share)
+        (1.0 + OWN_WEIGHT * share).powi(-2)
+    }
+
+    /// How many times narrower a server is than servers on the whole.
+    pub fn narrowness(&self, told: &Told) -> f64 {
+        if told.breadth > 0.0 {
+            (self.breadth / told.breadth).clamp(1.0 / NARROW_MOST, NARROW_MOST)
+        } else {
+            1.0
+        }
     }
 
     /// How many requests a server works on side by side; `None` if no server has told.
@@ -193,71 +206,14 @@
     }
 }
 
+fn leaned(figure: f64, seen: f64, gain: f64) -> f64 {
+    let figure = if figure == 0.0 { seen } else { figure + gain * (seen - figure) };
+    figure.max(BREADTH_LEAST)
+}
+
 fn fading(age: Span, length: Span) -> f64 {
     (-age.ms() / length.ms()).exp()
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const FIELDS: [ReportField; 4] =
-        [ReportField::Rate, ReportField::ServiceTime, ReportField::Errors, ReportField::Queue];
-
-    fn at(ms: f64) -> Time {
-        Time::from_ms(ms)
-    }
-
-    #[test]
-    fn a_report_tells_all_that_a_server_holds() {
-        let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
-        let word = Word::read(&FIELDS, &[50.0, 240.0, 0.0, 5.0]);
-        hearsay.hear(at(0.0), &mut told, &word, 2.0, 60.0);
-        // 50 a second for 240 ms are 12 at work, and 5 wait; 2 are our own.
-        assert!((hearsay.others(at(0.0), &told) - 15.0).abs() < 1e-9);
-        // 340 ms in place of some 60: three work side by side.
-        let breadth = hearsay.breadth(&told).expect("told");
-        assert!((2.5..3.6).contains(&breadth), "{breadth}");
-    }
-
-    #[test]
-    fn a_word_ages_towards_the_mean_and_the_mean_towards_nothing() {
-        let (mut hearsay, mut busy) = (Hearsay::default(), Told::default());
-        let mut random = fastrand::Rng::with_seed(1);
-        for n in 0..100 {
-            let word = Word { in_flight: Some(10.0 * random.f64()), ..Word::default() };
-            hearsay.hear(at(f64::from(n)), &mut Told::default(), &word, 0.0, 60.0);
-        }
-        let word = Word { in_flight: Some(30.0), ..Word::default() };
-        hearsay.hear(at(100.0), &mut busy, &word, 0.0, 60.0);
-        let after = |ms: f64| hearsay.others(at(100.0 + ms), &busy);
-        assert!(after(0.0) > 29.0 && (8.0..20.0).contains(&after(500.0)), "{}", after(500.0));
-        assert!(after(10_000.0) < 0.01, "{}", after(10_000.0));
-        assert!(hearsay.others(at(100.0), &Told::default()) < 9.0);
-    }
-
-    /// What closed agents for good in the lab: odd reports in a row made a server look too narrow for one request.
-    #[test]
-    fn no_reports_make_a_server_too_narrow_for_one_request() {
-        let mut random = fastrand::Rng::with_seed(7);
-        for _ in 0..1000 {
-            let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
-            for n in 0..200 {
-                let mut figure = || 10f64.powf(12.0 * random.f64() - 6.0);
-                let word = Word::read(&FIELDS, &[figure(), figure(), figure(), figure()]);
-                hearsay.hear(at(f64::from(n)), &mut told, &word, 3.0, 60.0);
-                assert!(hearsay.breadth(&told).is_none_or(|b| b >= BREADTH_LEAST && b.is_finite()));
-                assert!((0.0..=2e9).contains(&hearsay.others(at(f64::from(n)), &told)));
-            }
-        }
-    }
-
-    #[test]
-    fn what_is_no_figure_is_left_out() {
-        let word = Word::read(&FIELDS, &[f64::NAN, -3.0, 0.0, f64::INFINITY]);
-        assert_eq!(word, Word { service_ms: Some(0.0), ..Word::default() });
-        let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
-        hearsay.hear(at(0.0), &mut told, &word, 0.0, 60.0);
-        assert!(!told.is_fresh(at(0.0), Span(1)) && hearsay.breadth(&told).is_none());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/told/tests.rs
@@ -0,0 +1,63 @@
+//! A word's age, the mean of words, and reports that can't be.
+
+use super::*;
+
+const FIELDS: [ReportField; 4] =
+    [ReportField::Rate, ReportField::ServiceTime, ReportField::Errors, ReportField::Queue];
+
+fn at(ms: f64) -> Time {
+    Time::from_ms(ms)
+}
+
+#[test]
+fn a_report_tells_all_that_a_server_holds() {
+    let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+    let word = Word::read(&FIELDS, &[50.0, 240.0, 0.0, 5.0]);
+    hearsay.hear(at(0.0), &mut told, &word, 2.0, 60.0);
+    // 50 a second for 240 ms are 12 at work, and 5 wait; 2 are our own.
+    assert!((hearsay.others(at(0.0), &told) - 15.0).abs() < 1e-9);
+    // 340 ms in place of some 60: three work side by side.
+    let breadth = hearsay.breadth(&told).expect("told");
+    assert!((2.5..3.6).contains(&breadth), "{breadth}");
+}
+
+#[test]
+fn a_word_ages_towards_the_mean_and_the_mean_towards_nothing() {
+    let (mut hearsay, mut busy) = (Hearsay::default(), Told::default());
+    let mut random = fastrand::Rng::with_seed(1);
+    for n in 0..100 {
+        let word = Word { in_flight: Some(10.0 * random.f64()), ..Word::default() };
+        hearsay.hear(at(f64::from(n)), &mut Told::default(), &word, 0.0, 60.0);
+    }
+    let word = Word { in_flight: Some(30.0), ..Word::default() };
+    hearsay.hear(at(100.0), &mut busy, &word, 0.0, 60.0);
+    let after = |ms: f64| hearsay.others(at(100.0 + ms), &busy);
+    assert!(after(0.0) > 29.0 && (8.0..20.0).contains(&after(500.0)), "{}", after(500.0));
+    assert!(after(10_000.0) < 0.01, "{}", after(10_000.0));
+    assert!(hearsay.others(at(100.0), &Told::default()) < 9.0);
+}
+
+/// What closed agents for good in the lab: odd reports in a row made a server look too narrow for one request.
+#[test]
+fn no_reports_make_a_server_too_narrow_for_one_request() {
+    let mut random = fastrand::Rng::with_seed(7);
+    for _ in 0..1000 {
+        let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+        for n in 0..200 {
+            let mut figure = || 10f64.powf(12.0 * random.f64() - 6.0);
+            let word = Word::read(&FIELDS, &[figure(), figure(), figure(), figure()]);
+            hearsay.hear(at(f64::from(n)), &mut told, &word, 3.0, 60.0);
+            assert!(hearsay.breadth(&told).is_none_or(|b| b >= BREADTH_LEAST && b.is_finite()));
+            assert!((0.0..=2e9).contains(&hearsay.others(at(f64::from(n)), &told)));
+        }
+    }
+}
+
+#[test]
+fn what_is_no_figure_is_left_out() {
+    let word = Word::read(&FIELDS, &[f64::NAN, -3.0, 0.0, f64::INFINITY]);
+    assert_eq!(word, Word { service_ms: Some(0.0), ..Word::default() });
+    let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+    hearsay.hear(at(0.0), &mut told, &word, 0.0, 60.0);
+    assert!(!told.is_fresh(at(0.0), Span(1)) && hearsay.breadth(&told).is_none());
+}
