--- a/tests/looks.rs
+++ b/tests/looks.rs
@@ -162,3 +162,19 @@
     let deadline = class(Effect::Idempotent).deadline;
     assert_eq!(until, Some(start + deadline));
 }
+
+/// What is worth next to nothing found servers that work on one request at a time full with nothing there.
+#[test]
+fn an_idle_server_is_full_for_nobody() {
+    let worth = |worth| Class { worth, ..class(Effect::Idempotent) };
+    let mut rig = Rig::new(Settings { classes: vec![worth(1000.0), worth(0.001)], ..told() }, 11);
+    rig.list(fleet(6, 1, 1));
+    for server in (0..6).map(ServerId) {
+        // One request there takes nearly four usual times: it is narrow. Then it is idle.
+        for report in [[6.7, 150.0, 0.0], [6.7, 150.0, 0.0], [0.0, 0.0, 0.0]] {
+            let (outcome, elapsed, report) = (Outcome::Success, Span::from_ms(1.0), Some(report.to_vec()));
+            rig.tell(Event::Probed { server, outcome, elapsed, report });
+        }
+    }
+    assert!(rig.ask(1).1.is_some());
+}
