--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -200,7 +200,8 @@
 /// requests were served, and how many attempts called back.
 fn lose(rig: &mut Rig) -> (u32, u32) {
     let (mut served, mut called_back, mut sends) = (0, 0, 0_u32);
-    let mut out: Vec<(RequestId, u32, Time, bool)> = Vec::new();
+    // Request, attempt, when sent, when over, whether lost.
+    let mut out: Vec<(RequestId, u32, Time, Time, bool)> = Vec::new();
     let mut attempts = std::collections::BTreeMap::new();
     for turn in 0..2500 {
         rig.ask(0);
@@ -209,10 +210,12 @@
         while !actions.is_empty() {
             for action in std::mem::take(&mut actions) {
                 match action {
-                    Action::Send { request, .. } => {
+                    Action::Send { request, timeout_at, .. } => {
                         let attempt = attempts.entry(request).and_modify(|n| *n += 1).or_insert(0);
                         sends += 1;
-                        out.push((request, *attempt, rig.now, sends % 5 == 0));
+                        let lost = sends % 5 == 0;
+                        let end = if lost { timeout_at } else { rig.now + Span::from_ms(20.0) };
+                        out.push((request, *attempt, rig.now, end, lost));
                     }
                     Action::Cancel { request, attempt } => {
                         called_back += 1;
@@ -223,14 +226,12 @@
                 }
             }
             let now = rig.now;
-            let age = |o: &(RequestId, u32, Time, bool)| now.since(o.2).ms();
-            let over = |o: &(RequestId, u32, Time, bool)| age(o) >= if o.3 { 5000.0 } else { 20.0 };
-            let (over, still): (Vec<_>, Vec<_>) = out.into_iter().partition(over);
+            let (over, still): (Vec<_>, Vec<_>) = out.into_iter().partition(|o| o.3 <= now);
             out = still;
             for end in over {
-                let outcome = if end.3 { Outcome::TimedOut } else { Outcome::Success };
-                served += u32::from(!end.3 && turn >= 1500);
-                actions.extend_from_slice(rig.answer(end.0, end.1, outcome, age(&end)));
+                let outcome = if end.4 { Outcome::TimedOut } else { Outcome::Success };
+                served += u32::from(!end.4 && turn >= 1500);
+                actions.extend_from_slice(rig.answer(end.0, end.1, outcome, now.since(end.2).ms()));
             }
         }
     }
@@ -246,6 +247,7 @@
         let mut rig = Rig::new(Settings { classes: vec![patient], ..Settings::default() }, 11);
         rig.list(fleet(4, 1, 1));
         let (served, called_back) = lose(&mut rig);
+        assert!(rig.observer.faults.is_empty(), "{effect:?}: {:#?}", rig.observer.faults);
         assert!(served > 700, "{effect:?}: {served} of 1000 served");
         assert_eq!(called_back > 20, effect == Effect::Idempotent, "{called_back} called back");
     }
