Count what each agent does, and add a fleet's counts up second by second

What is harmless in one agent shows only in the sum of a hundred, and nothing said what an agent did. The agent counts requests, sends, outcomes, probes, handshakes, calls to discovery and give-ups by reason; deploy/tally.toml (off by default) has it log them, and dilljunction-lab tally adds the logs of a fleet up.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -84,11 +84,13 @@
         let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
         let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
         let server = Server::new(driver.clone(), catalogue, config.client_connections, config.client_crowd);
-        let tasks = vec![
+        let tally = config.tally_every.map(|every| task(driver.clone().tell_tally(every)));
+        let mut tasks = vec![
             task(driver.clone().run()),
             task(platform::run(driver, Rc::clone(&commands), version, pushed)),
             task(Rc::clone(&server).sweep()),
         ];
+        tasks.extend(tally);
         let listener = TcpListener::bind(config.listen)
             .await
             .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -9,6 +9,7 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the runtime and accepted connections on their way out.
 const RESERVE: usize = 48;
@@ -62,6 +63,8 @@
     pub backend_connections: usize,
     /// Most bytes that bodies of requests and answers hold at once.
     pub body_bytes: usize,
+    /// How often a line counts what the agent does, if it does.
+    pub tally_every: Option<Duration>,
     /// The list as this agent last had it.
     pub known: Option<ListReply>,
     /// The settings object.
@@ -122,6 +125,7 @@
         let usable = sockets - RESERVE;
         let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
         let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
+        let tally_every = switches.tally.map(|tally| Duration::from_millis(tally.every_ms));
         let own = switches.limits.unwrap_or_default();
         let client_connections = own.client_connections.unwrap_or(clients.min(usable / 2));
         let backend_connections = own.server_connections.unwrap_or(usable - usable / 2);
@@ -148,6 +152,7 @@
             client_crowd: crowd,
             backend_connections,
             body_bytes: bodies.unwrap_or((memory * BODIES_SHARE) as usize),
+            tally_every,
             known: file.known,
             settings: file.settings,
         })
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,6 +5,7 @@
 use crate::list::{Commands, ListReply};
 use crate::log::log;
 use crate::requests::{Answer, Arrival, Departure, Requests};
+use crate::tally::{Count, Tally};
 use crate::timers::Timers;
 use crate::upstream::backend::{Backends, Call, Ended, Progress};
 use crate::upstream::pool::{Place, Pool};
@@ -102,6 +103,21 @@
         self.0.core.borrow().fleet.is_serving()
     }
 
+    /// Where what the agent does is counted.
+    pub fn tally(&self) -> &Tally {
+        self.pool().tally()
+    }
+
+    /// Logs a line of counts every `period` for as long as the agent lives.
+    pub async fn tell_tally(self, period: Duration) {
+        let levels = || {
+            let (open, idle) = self.pool().levels();
+            let core = self.0.core.borrow();
+            vec![("open", open), ("idle", idle), ("serving", core.fleet.serving())]
+        };
+        self.tally().clone().tell(period, levels).await;
+    }
+
     fn pool(&self) -> &Pool {
         self.0.backends.pool()
     }
@@ -132,6 +148,7 @@
     ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (id, answer) = self.0.core.borrow_mut().requests.admit(call, call_id, arrival.deadline)?;
         let left = arrival.deadline.saturating_duration_since(Instant::now());
+        self.tally().count(Count::Request);
         self.tell(Event::Request(Request {
             id,
             class: arrival.class,
@@ -156,6 +173,7 @@
     /// An attempt is over: a served request has its answer at once, whatever the module thinks of it.
     fn attempt_over(&self, id: RequestId, attempt: u32, sent: Instant, ended: Ended) {
         let arrived = self.0.core.borrow_mut().requests.arrive(id, attempt, ended.served);
+        self.tally().count(Count::Outcome(ended.outcome));
         let Some(closed) = arrived else { return };
         self.tell(Event::Outcome {
             request: id,
@@ -177,14 +195,21 @@
     fn perform(&self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
+                Action::Send { request, server, timeout_at } => {
+                    self.tally().count(Count::Send);
+                    self.send(request, server, timeout_at);
+                }
                 Action::Cancel { request, attempt } => {
                     self.0.core.borrow_mut().requests.call_off(request, attempt.0);
                 }
-                Action::Refuse { request, retry_after, .. } => {
+                Action::Refuse { request, retry_after, reason } => {
+                    self.tally().count(Count::GivenUp(reason));
                     self.answer(request, Answer::Refused(retry_after))
                 }
-                Action::Fail { request, .. } => self.answer(request, Answer::Failed),
+                Action::Fail { request, reason } => {
+                    self.tally().count(Count::GivenUp(reason));
+                    self.answer(request, Answer::Failed);
+                }
                 Action::SetTimer { at, timer } => self.0.timers.set(at, timer),
                 Action::Probe { server } => self.probe(server),
                 Action::CloseIdle { server } => self.pool().close_idle(server),
@@ -254,6 +279,7 @@
     }
 
     fn probe(&self, server: ServerId) {
+        self.tally().count(Count::Probe);
         let place = self.0.core.borrow_mut().fleet.enter(server);
         let (driver, sent) = (self.clone(), Instant::now());
         tokio::task::spawn_local(async move {
@@ -267,6 +293,9 @@
                 None => Outcome::NotSent.into(),
             };
             let elapsed = Span(sent.elapsed().as_micros() as u64);
+            if ended.outcome != Outcome::Success {
+                driver.tally().count(Count::ProbeFailed);
+            }
             driver.tell(Event::Probed { server, outcome: ended.outcome, elapsed, report: ended.report });
         });
     }
@@ -275,6 +304,7 @@
 
     /// A source has told something.
     pub fn listed(&self, reply: ListReply) {
+        self.tally().add(Count::ListLine, reply.targets.len());
         let lines = self.0.core.borrow_mut().fleet.take_list(reply.all, &reply.targets, self.pool());
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
@@ -282,6 +312,7 @@
 
     /// A call to a source has failed.
     pub fn list_failed(&self) {
+        self.tally().count(Count::ListFailed);
         self.tell(Event::List(ListUpdate::Failed));
     }
 }
--- a/agent/src/fleet.rs
+++ b/agent/src/fleet.rs
@@ -66,6 +66,11 @@
         self.servers.values().any(|s| s.serving)
     }
 
+    /// How many may be sent to.
+    pub fn serving(&self) -> usize {
+        self.servers.values().filter(|s| s.serving).count()
+    }
+
     /// One more attempt or probe is out to a server; where that is, if it is known.
     pub fn enter(&mut self, server: ServerId) -> Option<Place> {
         self.servers.get_mut(&server).map(|server| {
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::Driver;
 use crate::list::{Commands, ListReply};
+use crate::tally::Count;
 use crate::wire::{Gauge, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -123,6 +124,7 @@
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
         while self.version.get().is_none() {
+            self.driver.tally().count(Count::ListCall);
             match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
                 Some(list) => self.listed(ListReply { all: true, ..list }),
                 None => sleep(MOVED_PAUSE).await,
@@ -134,6 +136,7 @@
             }
             let version = self.version.get().unwrap_or_default();
             let path = format!("{LIST_PATH}?from={version}&hold_ms={}", HOLD.as_millis());
+            self.driver.tally().count(Count::ListCall);
             let asked = Instant::now();
             let answer = tokio::select! {
                 answer = timeout(HOLD + ANSWER_WAIT, call(self.address, &mut line, &path)) => answer.ok().flatten(),
@@ -161,6 +164,7 @@
     async fn fetch(&self) {
         loop {
             self.commands.fetch_wanted().await;
+            self.driver.tally().count(Count::ListCall);
             match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
                 Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
                 // The watch has brought something newer meanwhile.
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -11,6 +11,8 @@
 const CONNECTIONS_MOST: usize = 1_000_000;
 /// The most memory for bodies that can be asked for, in MB.
 const MEMORY_MOST: u32 = 1024 * 1024;
+/// How far apart the lines of a tally may be: ten a second of all lines are let through, and a day has an end.
+const TALLY_EVERY_MS: std::ops::RangeInclusive<u64> = 200..=600_000;
 
 /// What the files switch on.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -18,6 +20,16 @@
 pub struct Switches {
     /// `[limits]`, see `deploy/limits.toml`.
     pub limits: Option<LimitsTable>,
+    /// `[tally]`, see `deploy/tally.toml`.
+    pub tally: Option<TallyTable>,
+}
+
+/// Lines that count what the agent does.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TallyTable {
+    /// Milliseconds between two lines, 200 to 600,000.
+    pub every_ms: u64,
 }
 
 /// What an installation with room of its own allows the agent, in place of the shares that are reckoned from the
@@ -63,10 +75,17 @@
         if self.limits.is_some() && other.limits.is_some() {
             return Err(Fault::of_key("limits", "this table stands in an earlier file too"));
         }
-        Ok(Switches { limits: self.limits.or(other.limits) })
+        if self.tally.is_some() && other.tally.is_some() {
+            return Err(Fault::of_key("tally", "this table stands in an earlier file too"));
+        }
+        Ok(Switches { limits: self.limits.or(other.limits), tally: self.tally.or(other.tally) })
     }
 
     fn check(&self) -> Result<(), Fault> {
+        if self.tally.as_ref().is_some_and(|tally| !TALLY_EVERY_MS.contains(&tally.every_ms)) {
+            let (least, most) = (TALLY_EVERY_MS.start(), TALLY_EVERY_MS.end());
+            return Err(Fault::of_key("tally.every_ms", format!("must lie between {least} and {most} (ms)")));
+        }
         let Some(limits) = &self.limits else { return Ok(()) };
         let connections = [
             ("client_connections", limits.client_connections),
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -1,6 +1,7 @@
 //! The connections to backends: at work, idle, or not there yet.
 
 use super::rest::Rest;
+use crate::tally::{Count, Tally};
 use crate::wire::{Gauge, View, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -109,14 +110,25 @@
     open_most: usize,
     connect_timeout: Duration,
     rest: Rest,
+    tally: Tally,
 }
 
 impl Pool {
     /// No connections yet.
     pub fn new(open_most: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
         let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
-        let (idle, open) = Default::default();
-        Rc::new(Pool { idle, open, open_most, connect_timeout, rest })
+        let (idle, open, tally) = Default::default();
+        Rc::new(Pool { idle, open, open_most, connect_timeout, rest, tally })
+    }
+
+    /// Where what is done on the connections is counted.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// How many are open, and how many of those are idle.
+    pub fn levels(&self) -> (usize, usize) {
+        (self.open.count(), self.idle.borrow().values().map(Vec::len).sum())
     }
 
     /// How many are open.
@@ -134,6 +146,7 @@
         if self.open.count() >= self.open_most && !self.close_coldest() {
             return Err(Outcome::NotSent);
         }
+        self.tally.count(Count::Handshake);
         let ticket = self.open.enter();
         let stream = match timeout(self.connect_timeout, TcpStream::connect(place.address)).await {
             Ok(Ok(stream)) => stream,
@@ -204,6 +217,7 @@
                 let keep = is_current(server, idle.life)
                     && idle.usable(now, self.rest.limit(), idle.life) != Use::Never;
                 if !keep {
+                    self.tally.count(Count::Retired);
                     idle.task.abort();
                 }
                 keep
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 use dilljunction_lab::judge::evidence::Book;
 use dilljunction_lab::show::live::{judged, served, verdict, Live};
 use dilljunction_lab::show::report;
+use dilljunction_lab::show::tally::Fleet;
 use dilljunction_lab::world::agents::Subject;
 use dilljunction_lab::world::run::{run, Outcome, Stage};
 use dilljunction_lab::world::{alone, World, SHIPPED};
@@ -79,6 +80,11 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Add up what the agents of a fleet have counted, second by second; they write it with deploy/tally.toml
+    Tally {
+        /// The folder that holds their logs, one file (*.log) each
+        folder: PathBuf,
+    },
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -161,6 +167,7 @@
             world.clients.mixed |= mixed;
             emulate(&world, json.as_deref())
         }
+        Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
@@ -171,6 +178,27 @@
     }
 }
 
+fn tally(folder: &Path) -> Result<bool, String> {
+    let named = |path: &Path, e: std::io::Error| format!("{}: {e}", path.display());
+    let mut fleet = Fleet::default();
+    let mut lines = 0;
+    for entry in std::fs::read_dir(folder).map_err(|e| named(folder, e))? {
+        let path = entry.map_err(|e| named(folder, e))?.path();
+        if path.extension().is_some_and(|e| e == "log") {
+            let log = std::fs::read(&path).map_err(|e| named(&path, e))?;
+            lines += fleet.read(&String::from_utf8_lossy(&log));
+        }
+    }
+    if lines == 0 {
+        return Err(format!(
+            "{}: no *.log here holds a tally; run agents with deploy/tally.toml",
+            folder.display()
+        ));
+    }
+    print!("{}", fleet.table());
+    Ok(true)
+}
+
 fn sized(name: &str, size: &Size) -> Result<World, String> {
     let mut world = World::find(name)?;
     if let Some(servers) = size.servers {
--- a/lab/src/show/mod.rs
+++ b/lab/src/show/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod live;
 pub mod report;
+pub mod tally;
