--- a/src/api.rs
+++ b/src/api.rs
@@ -422,9 +422,10 @@
 impl std::error::Error for SettingsError {}
 
 /// What the list says of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum Status {
     /// It takes requests.
+    #[default]
     Serving,
     /// It finishes what it has; send it nothing new.
     Draining,
@@ -433,7 +434,7 @@
 }
 
 /// A line of the server list.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Listed {
     /// The server.
     pub server: ServerId,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,8 +2,7 @@
 //!
 //! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes
 //! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
-//! `outcome` learns from the answer and decides what follows, `end` gives the one final answer. `tick` looks
-//! after silent servers, held requests and the list.
+//! `outcome` learns from the answer and decides what follows, `end` gives the answer, `tick` does the rest.
 //!
 //! One law holds for few balancers and for many: a server's load is what this one has there and what the
 //! others have by its reports (`src/told.rs`), and a request may go where that leaves its answer in time, the
@@ -16,10 +15,18 @@
 /// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
 const REMEMBERED: usize = 1;
 const DRAWS: usize = 3;
+/// Fresh draws come from a circle of as many servers as own requests reach in this many seconds, or of the
+/// least: of more, one balancer of many knows too little, and together they hold too many connections.
+const CIRCLE_S: f64 = 1.0;
+const CIRCLE_LEAST: usize = 16;
+/// One draw of so many comes from all that serve, so that the circle goes round.
+const WIDE_DRAW: u32 = 48;
 /// Tries for each fresh draw to hit a server that is open; after that the whole list is gone through.
 const DRAW_TRIES: usize = 8;
 /// What a server told lately needs no probe; a request that knows of none of its candidates has them probed.
+/// Where probes cost more than this price, older knowledge will do, by as much.
 const KNOWN: Span = Span(400_000);
+const KNOWN_PRICE: f64 = 0.01;
 /// The share of its aim that a request may wait for the probes of its candidates.
 const LOOK: f64 = 0.08;
 /// Load that a probe still out stands for when the look is over, and one that failed or was turned away.
@@ -29,8 +36,8 @@
 const PACE_GAIN: f64 = 0.12;
 /// Weight of a new answer in its class's pace; a slower one counts a quarter.
 const CLASS_GAIN: f64 = 0.04;
-/// Failures in a row that make a server suspect; and how seldom as many would have to come by chance from one
-/// that fails as often as the others: where connections break everywhere, two in a row come every second.
+/// Errors of a class in a row that make a server suspect, where one broken connection does; and how seldom
+/// as many come by chance from one that fails as often as the others.
 const FAILURES: u32 = 2;
 const FAILURES_CHANCE: f64 = 0.002;
 /// Weight of a new answer in a server's share of failures.
@@ -43,13 +50,15 @@
 /// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
 /// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
 const OVERDUE: f64 = 4.0;
-const OVERDUE_LEAST: f64 = 0.6;
-const OVERDUE_ALONE: f64 = 1.0;
+const OVERDUE_LEAST: f64 = 0.7;
 /// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
 const SUSPECT_SHARE: f64 = 0.75;
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
+/// What a trial costs of what is saved up for retries, and must leave there: where many are suspect, trials
+/// must not use up what is asked for.
+const TRIAL_COST: f64 = 3.0;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
@@ -65,7 +74,7 @@
 /// By what servers tell, one is full for the requests of most worth where their answers would come at this
 /// multiple of their aim; and by this much earlier for each e-fold less of worth, so that what is worth least
 /// is shed first. Between classes only the root of their worth counts: the class served worst counts too.
-const FULL: f64 = 1.2;
+const FULL: f64 = 0.8;
 const FULL_LESS: f64 = 0.25;
 /// ... but never so early that a server with nothing to do is full.
 const FULL_LEAST: f64 = 1.5;
@@ -75,16 +84,14 @@
 const GROWTH: f64 = 0.1;
 /// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
 const SHRINK: f64 = 0.02;
-/// Own requests in flight that a server is first thought to bear, and the most it is ever given.
+/// Own requests in flight that a server is first thought to bear.
 const LIMIT_FIRST: f64 = 2.0;
-const LIMIT_MOST: f64 = 1000.0;
 /// Each request earns this much of a further attempt, saved up to the burst. One after a break costs less
-/// than one after a full server or a wait, which load brings about and more attempts make worse.
+/// than one after a full server or a wait, which load brings about; one that was not sent gave no work.
 const RETRY_EARN: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
 const RETRY_BROKEN: f64 = 0.4;
-/// A connect that fails within this share of the aim has been refused or reset.
-const AT_ONCE: f64 = 0.2;
+const RETRY_UNSENT: f64 = 0.05;
 /// How often the balancer looks around when it holds requests, and when it does not.
 const TICK_BUSY: Span = Span(10_000);
 const TICK_IDLE: Span = Span(50_000);
@@ -99,8 +106,10 @@
 const SHARE_SLACK: f64 = 1.4;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
+/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks;
+/// and what each other balancer adds to it, since calls that fail cost discovery as well.
 const ASK_AGAIN: Span = Span(200_000);
+const ASK_APART: Span = Span(40_000);
 
 const TICK: TimerId = TimerId(0);
 const LOOKED: TimerId = TimerId(1);
@@ -115,7 +124,6 @@
 }
 
 /// What may still be done with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Lawful {
     send: Reach,
     refuse: bool,
@@ -128,7 +136,6 @@
     MayHaveRun,
 }
 
-#[derive(Debug, Clone)]
 struct Attempt {
     server: usize,
     zone: ZoneId,
@@ -137,7 +144,7 @@
     fate: Fate,
 }
 
-/// The one record of an accepted request; it goes when the request has its final answer.
+/// An accepted request; it goes when it has its final answer.
 struct Live {
     request: Request,
     deadline: Time,
@@ -197,6 +204,7 @@
 /// The place of the record of a server as a whole; that of class c stands at c + 1.
 const WHOLE: usize = 0;
 
+#[derive(Default)]
 struct Server {
     listed: Listed,
     in_flight: u32,
@@ -213,9 +221,6 @@
     limit: f64,
     /// A broken connection or silence is the machine's fault; an error may be that of one class there.
     records: Vec<Record>,
-    /// Requests that wait or are held there by the last report, and sends since.
-    reported: f64,
-    sent_since: u32,
     told: Told,
     /// When the probe that is out was sent.
     probed_at: Option<Time>,
@@ -227,19 +232,11 @@
     fn new(listed: Listed, now: Time, classes: usize) -> Self {
         Server {
             listed,
-            in_flight: 0,
-            stuck: 0,
             stretch: 1.0,
-            pace: 0.0,
             last_answer: now,
-            overtaken: Time(0),
             limit: LIMIT_FIRST,
             records: (0..=classes).map(|_| Record::default()).collect(),
-            reported: 0.0,
-            sent_since: 0,
-            told: Told::default(),
-            probed_at: None,
-            gone_at: None,
+            ..Server::default()
         }
     }
 
@@ -265,6 +262,8 @@
     held: Vec<RequestId>,
     looking: Vec<Look>,
     memory: Vec<usize>,
+    /// Those that fresh draws come from.
+    circle: Vec<usize>,
     /// The server that each key was last sent to, where servers do known keys for less.
     warm: BTreeMap<KeyId, usize>,
     /// Answer time of a class as a share of its aim, leaning to the quick: a crowd is not usual.
@@ -278,8 +277,6 @@
     hearsay: Hearsay,
     /// How far answers get lost; see [`LOST`].
     lost: f64,
-    /// Least time that a probe has taken, by zone: what is over that, it waited.
-    round_trip: BTreeMap<ZoneId, Span>,
     ask_pause: Span,
     ask_at: Option<Time>,
     tick_at: Time,
@@ -303,6 +300,7 @@
             held: Vec::new(),
             looking: Vec::new(),
             memory: Vec::new(),
+            circle: Vec::new(),
             warm: BTreeMap::new(),
             class_pace,
             usual_wait,
@@ -311,7 +309,6 @@
             retries: RETRY_BURST,
             hearsay: Hearsay::default(),
             lost: 0.0,
-            round_trip: BTreeMap::new(),
             ask_pause: ASK_AGAIN,
             ask_at: None,
             tick_at: Time(0),
@@ -322,9 +319,9 @@
     /// To be called once, before the first event.
     pub fn start(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.settings.discovery == Discovery::OnRequest {
-            out.push(Action::Follow { active: true });
+            self.ask_at = Some(now + self.ask_apart() * (2.0 * self.rng.f64()));
         }
-        self.set_tick(now, TICK_IDLE, out);
+        self.tick(now, out);
     }
 
     /// Takes in what has happened by `now` and appends what is to be done about it.
@@ -382,8 +379,8 @@
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
         self.count(now, &request);
         let over_share = self.over_share(&request);
-        let live =
-            Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share, picks: 0 };
+        let (attempts, bound, picks) = (Vec::new(), false, 0);
+        let live = Live { request, deadline, wanted_by, attempts, bound, over_share, picks };
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
@@ -476,7 +473,8 @@
     fn look(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
         let live = &self.live[&id];
         let until = now + self.settings.classes[live.request.class.0].aim * LOOK;
-        let blind = candidates.iter().all(|&c| !self.servers[c].told.is_fresh(now, KNOWN));
+        let known = KNOWN * (self.settings.prices.probe / KNOWN_PRICE).max(1.0);
+        let blind = candidates.iter().all(|&c| !self.servers[c].told.is_fresh(now, known));
         let may = self.settings.probes && live.picks == 1 && until < live.deadline;
         if !may || !blind || candidates.is_empty() {
             return false;
@@ -542,11 +540,9 @@
     /// What a request asks of a server: the more it is worth for its work, the fuller that may be.
     fn ask(&self, now: Time, live: &Live) -> Ask {
         let (classes, class) = (&self.settings.classes, live.request.class.0);
-        let by_work = self.settings.worth_by_work;
-        let worth = |c: usize| classes[c].worth / if by_work { 1.0 } else { self.usual(c) };
-        let most = (0..classes.len()).map(worth).fold(f64::MIN_POSITIVE, f64::max);
+        let most = (0..classes.len()).map(|c| self.worth(c)).fold(f64::MIN_POSITIVE, f64::max);
         let over = if live.over_share { self.settings.over_share_worth } else { 1.0 };
-        let part = ((worth(class) / most).powf(0.4) * over).clamp(1e-3, 1.0);
+        let part = ((self.worth(class) / most).powf(0.4) * over).clamp(1e-3, 1.0);
         let full = FULL / self.of_others(now) * (1.0 + FULL_LESS * part.ln());
         let stretch = full.max(0.0) * classes[class].aim.ms() / self.usual(class);
         Ask { reach: self.lawful(live, now).send, class, stretch }
@@ -556,19 +552,14 @@
     fn probed(&mut self, now: Time, server: usize, failed: bool, elapsed: Span, out: &mut Vec<Action>) {
         let usual = (0..self.settings.classes.len()).map(|c| self.usual(c)).fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[server];
-        let least = self.round_trip.entry(s.listed.zone).or_insert(elapsed);
-        *least = elapsed.min(*least);
         s.probed_at = None;
         if failed {
             s.told.guess(now, PROBE_FAILED);
         } else if !s.told.is_fresh(now, Span(1)) {
-            s.told.guess(now, elapsed.less(*least).ms() / usual);
+            s.told.guess(now, elapsed.ms() / usual);
         }
         let out_still = |&c: &usize| self.servers[c].probed_at.is_some();
-        // One that has nothing to do is as light as any.
-        let idle = self.load(now, server) < 0.5;
-        let over =
-            |l: &&Look| l.candidates.contains(&server) && (idle || !l.candidates.iter().any(out_still));
+        let over = |l: &&Look| l.candidates.contains(&server) && !l.candidates.iter().any(out_still);
         let done: Vec<RequestId> = self.looking.iter().filter(over).map(|l| l.request).collect();
         self.settle(now, |look| done.contains(&look.request), out);
     }
@@ -587,8 +578,9 @@
         let all = candidates.len() + DRAWS;
         let all_cold = self.serving.iter().all(|&i| self.is_cold(now, i));
         for _ in 0..DRAWS {
-            for turn in 0..DRAW_TRIES.min(self.serving.len()) {
-                let i = self.serving[self.rng.usize(0..self.serving.len())];
+            let from = if self.rng.u32(0..WIDE_DRAW) == 0 { &self.serving } else { &self.circle };
+            for turn in 0..DRAW_TRIES.min(from.len()) {
+                let i = from[self.rng.usize(0..from.len())];
                 // All balancers together must not push a cold server over: even if it wins every pick it is
                 // drawn for, it gets its warmth's part of a warm one's load. What waits has no second roll.
                 let warmth = self.warmth(&self.servers[i], now);
@@ -629,7 +621,8 @@
         lawful
             && s.listed.status == Status::Serving
             && f64::from(s.in_flight - s.stuck) < (s.limit * self.warmth(s, now)).max(1.0)
-            && s.doubt(ask.class).is_none_or(|q| !q.on_trial && now >= q.next_trial)
+            && s.doubt(ask.class)
+                .is_none_or(|q| !q.on_trial && now >= q.next_trial && self.retries >= 2.0 * TRIAL_COST)
             && self.has_told_room(now, server, ask.stretch)
     }
 
@@ -651,9 +644,8 @@
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
             let load = (f64::from(s.in_flight) + weight * self.hearsay.others(now, &s.told)).max(out);
             let count = if s.doubt(class).is_some() { 0.0 } else { load + 1.0 };
-            let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln()
-                + weight * self.hearsay.narrowness(&s.told).ln();
-            ((load / ALIKE).round() as i32, (s.reported + f64::from(s.sent_since)).round() as i32, coin)
+            let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
+            ((load / ALIKE).round() as i32, coin)
         };
         candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
     }
@@ -668,22 +660,45 @@
         self.memory.retain(|&m| m != server);
         self.memory.insert(0, server);
         self.memory.truncate(REMEMBERED);
+        let suspect = self.servers[server].records[WHOLE].suspicion.is_some();
+        if !suspect && !self.circle.is_empty() && !self.circle.contains(&server) {
+            let place = self.rng.usize(0..self.circle.len());
+            self.circle[place] = server;
+        }
+    }
+
+    /// Holds the circle to its size and to servers that serve and are not suspect. Newcomers are drawn
+    /// uniformly, suspects where there are no others.
+    fn close_circle(&mut self, now: Time) {
+        let servers = &self.servers;
+        let fit = |i: usize| servers[i].records[WHOLE].suspicion.is_none();
+        let size = ((self.hearsay.own_rate(now) * CIRCLE_S) as usize).max(CIRCLE_LEAST);
+        self.circle.retain(|&i| servers[i].listed.status == Status::Serving && fit(i));
+        // Own traffic wobbles; a circle that followed it closely would cost connections for nothing.
+        self.circle.truncate(size + size / 2);
+        if self.circle.len() < size.min(self.serving.len()) {
+            let outside = self.serving.iter().copied().filter(|i| !self.circle.contains(i));
+            let mut outside: Vec<usize> = outside.collect();
+            self.rng.shuffle(&mut outside);
+            outside.sort_by_key(|&i| !fit(i));
+            self.circle.extend(outside.iter().take(size - self.circle.len()));
+        }
     }
 
     fn send(&mut self, now: Time, id: RequestId, class: usize, server: usize, out: &mut Vec<Action>) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        // The deadline and no earlier: what is called off goes on at its server, and no count would show it.
+        // No earlier: what is called off goes on at its server, and no count would show it.
         let timeout_at = live.deadline;
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
-        let (zone, cell) = (s.listed.zone, s.listed.cell);
+        let Listed { zone, cell, .. } = s.listed;
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
         s.in_flight += 1;
-        s.sent_since += 1;
         self.hearsay.send(now);
         let trial = [WHOLE, class + 1].into_iter().find(|&r| s.records[r].suspicion.is_some());
         if let Some(q) = trial.and_then(|r| s.records[r].suspicion.as_mut()) {
             q.on_trial = true;
+            self.retries -= TRIAL_COST;
         }
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
@@ -706,6 +721,11 @@
         self.warmth(&self.servers[server], now) < 1.0
     }
 
+    /// What a request of a class is worth for the work that it makes.
+    fn worth(&self, class: usize) -> f64 {
+        self.settings.classes[class].worth / if self.settings.worth_by_work { 1.0 } else { self.usual(class) }
+    }
+
     /// The usual answer time of a class in milliseconds.
     fn usual(&self, class: usize) -> f64 {
         (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
@@ -740,11 +760,12 @@
         } else if let Some(live) = self.live.get_mut(&id) {
             let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             live.attempts[key.1 as usize].fate = fate;
-            // One that never came up has been waited for, as has a full server.
-            let at_once = elapsed < self.settings.classes[flight.class].aim * AT_ONCE;
-            let broken = matches!(outcome, Outcome::ConnectionReset | Outcome::ServerError)
-                || outcome == Outcome::ConnectFailed && at_once;
-            self.follow_up(now, id, if broken { RETRY_BROKEN } else { 1.0 }, out);
+            let cost = match outcome {
+                Outcome::ConnectFailed => RETRY_UNSENT,
+                Outcome::ConnectionReset | Outcome::ServerError => RETRY_BROKEN,
+                _ => 1.0,
+            };
+            self.follow_up(now, id, cost, out);
         }
         self.pump(now, out);
     }
@@ -775,7 +796,8 @@
     fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
-            let advice = self.come_back(now, live.request.class.0);
+            // A place is free when an answer has come.
+            let advice = Span::from_ms(self.usual(live.request.class.0)).min(self.settings.max_retry_after);
             let retry_after = self.settings.retry_after.then_some(advice);
             out.push(Action::Refuse { request: id, retry_after, reason });
         } else {
@@ -783,17 +805,6 @@
         }
     }
 
-    /// When a request of this class may find room: a place is free when an answer has come, and if nobody
-    /// is open, when the first suspect is tried again.
-    fn come_back(&self, now: Time, class: usize) -> Span {
-        let trials = self
-            .serving
-            .iter()
-            .map(|&i| self.servers[i].doubt(class).map_or(Span::ZERO, |q| q.next_trial.since(now)));
-        let usual = Span::from_ms(self.usual(class));
-        usual.max(trials.min().unwrap_or(usual)).min(self.settings.max_retry_after)
-    }
-
     /// Sends what is held and can go, newest first, and ends what can no longer be answered in time: first
     /// come first served would let every request wait until it is nearly too late, and then be late.
     fn pump(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -801,10 +812,7 @@
             return;
         }
         let mut held = std::mem::take(&mut self.held);
-        let cheap = |l: &Live| {
-            let (c, by_work) = (l.request.class.0, self.settings.worth_by_work);
-            (-1e6 * self.settings.classes[c].worth / if by_work { 1.0 } else { self.usual(c) }) as i64
-        };
+        let cheap = |l: &Live| (-1e6 * self.worth(l.request.class.0)) as i64;
         held.sort_by_cached_key(|id| self.live.get(id).map(|l| (l.over_share, cheap(l))));
         held.retain(|&id| {
             let Some(live) = self.live.get(&id) else { return false };
@@ -872,7 +880,7 @@
             let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
             s.limit = (s.limit * factor).max(1.0);
             if over <= 0.0 && used < 1.0 && f64::from(s.in_flight) + 1.0 >= (0.7 * s.limit).floor() {
-                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
+                s.limit += GROWTH / s.limit.max(1.0);
             }
         }
         if let Some(on) = flight.trial {
@@ -905,7 +913,8 @@
         others.sort_by(f64::total_cmp);
         let usual = others.get(others.len() / 4).copied().unwrap_or(0.0);
         let failures = self.servers[server].records[r].failures;
-        failures >= FAILURES && usual.powf(f64::from(failures)) < FAILURES_CHANCE
+        failures >= (if r == WHOLE { 1 } else { FAILURES })
+            && usual.powf(f64::from(failures)) < FAILURES_CHANCE
     }
 
     /// Takes a server out of the draw, for all classes or for one, unless too many are out already.
@@ -922,28 +931,31 @@
         out.push(Action::Log { text: format!("server {} {why}: suspect", s.listed.server.0) });
         if r == WHOLE {
             self.memory.retain(|&m| m != server);
+            self.close_circle(now);
         }
     }
 
     fn read_report(&mut self, now: Time, server: usize, report: &Report) {
         let word = Word::read(&self.settings.report_fields, report);
-        let classes = self.settings.classes.len();
-        let usual = (0..classes).map(|c| self.usual(c)).sum::<f64>() / classes as f64;
+        let usual = self.usual(0);
         let s = &mut self.servers[server];
-        if let Some(reported) = word.in_flight.or(word.queue) {
-            (s.reported, s.sent_since) = (reported, 0);
-        }
         self.hearsay.hear(now, &mut s.told, &word, f64::from(s.in_flight), usual);
     }
 
     // ---- the list and the clock ---------------------------------------------------------------------
 
+    /// Half the time over which balancers that start together spread their calls.
+    fn ask_apart(&self) -> Span {
+        let others = self.settings.balancers.saturating_sub(1);
+        (ASK_APART * f64::from(others)).min(self.settings.ask_within * 0.4)
+    }
+
     fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
         let (lines, complete) = match update {
             ListUpdate::Failed => {
-                let jitter = 0.5 + self.rng.f64();
-                self.ask_at = Some(now + self.ask_pause * jitter);
-                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                let (jitter, pause) = (0.5 + self.rng.f64(), self.ask_pause.max(self.ask_apart()));
+                self.ask_at = Some(now + pause * jitter);
+                self.ask_pause = (pause * 2.0).min(self.settings.ask_within * 0.25);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
@@ -970,13 +982,10 @@
                     }
                 }
                 None => {
+                    let fresh = Server::new(line, now, classes);
                     let place = self.free.pop().unwrap_or(self.servers.len());
                     self.index.insert(server, place);
-                    if place == self.servers.len() {
-                        self.servers.push(Server::new(line, now, classes));
-                    } else {
-                        self.servers[place] = Server::new(line, now, classes);
-                    }
+                    self.servers.splice(place..self.servers.len().min(place + 1), [fresh]);
                 }
             }
         }
@@ -987,24 +996,21 @@
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
         self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.close_circle(now);
         self.pump(now, out);
     }
 
-    /// Drops the servers that have left for good and that nothing refers to any more; one that is named again
-    /// starts afresh. Under ever new names they would fill the memory.
+    /// Drops the servers that have left for good and that nothing is out to. Under ever new names they would
+    /// fill the memory.
     fn forget(&mut self, now: Time) {
         let over = |s: &Server| {
             let left = s.gone_at.is_some_and(|at| now.since(at) > self.settings.drain_grace);
             left && s.in_flight == 0 && s.probed_at.is_none()
         };
-        let mut dropped: Vec<usize> =
-            self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
+        let dropped: Vec<usize> = self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
         if dropped.is_empty() {
             return;
         }
-        let tried = |i: usize| self.live.values().any(|live| live.attempts.iter().any(|a| a.server == i));
-        let looked = |i: usize| self.looking.iter().any(|look| look.candidates.contains(&i));
-        dropped.retain(|&i| !tried(i) && !looked(i));
         self.index.retain(|_, i| !dropped.contains(i));
         self.warm.retain(|_, i| !dropped.contains(i));
         self.free.extend(dropped);
@@ -1024,6 +1030,7 @@
             out.push(Action::Follow { active: true });
         }
         self.forget(now);
+        self.close_circle(now);
         self.find_silent(now, out);
         self.pump(now, out);
         self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
@@ -1035,7 +1042,7 @@
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
         let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
-            let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
+            let least = if server.in_flight > 1 { OVERDUE_LEAST } else { 1.0 };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(work / aim.ms());
             let quiet = server.last_answer < flight.sent;
--- a/src/told.rs
+++ b/src/told.rs
@@ -29,8 +29,6 @@
 const OWN_WEIGHT: f64 = 12.0;
 /// Below this multiple of the usual time requests hardly stand in each other's way, or it is chance.
 const PLAIN: f64 = 2.0;
-/// What is told of a server's breadth counts for this much against that of the others at the most.
-const NARROW_MOST: f64 = 8.0;
 /// Whatever the reports say, a server can work on one request at a time: without this bound a few odd reports would make
 /// it look too narrow for any request, and with none sent no other report would come.
 const BREADTH_LEAST: f64 = 1.0;
@@ -181,25 +179,21 @@
         self.sent_at = now;
     }
 
+    /// Requests a second that this balancer sends.
+    pub fn own_rate(&self, now: Time) -> f64 {
+        self.sent * fading(now.since(self.sent_at), SENT) / (SENT.ms() / 1e3)
+    }
+
     /// How far a balancer has to go by what so many servers tell, where its own counts and limits say little: from nearly
     /// 0 for one that sends all their requests to 1 for one of very many.
     /// Where reports tell no rates, `balancers` are taken to send alike.
     pub fn of_others(&self, now: Time, servers: usize, balancers: u32) -> f64 {
-        let own = self.sent * fading(now.since(self.sent_at), SENT) / (SENT.ms() / 1e3);
         let all = self.rate * servers as f64;
-        let share = if all > 0.0 { (own / all).min(1.0) } else { 1.0 / f64::from(balancers.max(1)) };
+        let share =
+            if all > 0.0 { (self.own_rate(now) / all).min(1.0) } else { 1.0 / f64::from(balancers.max(1)) };
         (1.0 + OWN_WEIGHT * share).powi(-2)
     }
 
-    /// How many times narrower a server is than servers on the whole.
-    pub fn narrowness(&self, told: &Told) -> f64 {
-        if told.breadth > 0.0 {
-            (self.breadth / told.breadth).clamp(1.0 / NARROW_MOST, NARROW_MOST)
-        } else {
-            1.0
-        }
-    }
-
     /// How many requests a server works on side by side; `None` if no server has told.
     pub fn breadth(&self, told: &Told) -> Option<f64> {
         [told.breadth, self.breadth].into_iter().find(|b| *b > 0.0)
--- a/src/told/tests.rs
+++ b/src/told/tests.rs
@@ -73,8 +73,9 @@
         let little = Word::read(&FIELDS, &[2.0, 60.0, 0.0, 0.0]);
         hearsay.hear(at(f64::from(n)), &mut fresh, &little, 0.0, 60.0);
     }
-    let narrow = hearsay.narrowness(&fresh);
-    assert!((0.7..1.4).contains(&narrow), "{narrow}");
+    let usual = hearsay.breadth(&Told::default()).unwrap();
+    let fresh = hearsay.breadth(&fresh).unwrap();
+    assert!((0.7..1.4).contains(&(usual / fresh)), "{fresh} of {usual}");
     // One that takes five times as long for the same is narrow indeed.
     let mut slow = Told::default();
     for n in 0..200 {
@@ -85,5 +86,6 @@
             hearsay.hear(now, &mut busy, &other, 0.0, 60.0);
         }
     }
-    assert!(hearsay.narrowness(&slow) > 1.4, "{}", hearsay.narrowness(&slow));
+    let (usual, slow) = (hearsay.breadth(&Told::default()).unwrap(), hearsay.breadth(&slow).unwrap());
+    assert!(usual / slow > 1.4, "{slow} of {usual}");
 }
--- /dev/null
+++ b/tests/large_fleet.rs
@@ -0,0 +1,160 @@
+//! Guards what is harmless in one balancer and harmful when a hundred do it: connections and probes without need,
+//! trials and retries that use up what is asked for, calls to discovery that all come at once.
+mod common;
+use common::*;
+use ryelead::*;
+use std::collections::BTreeSet;
+
+fn settings(balancers: u32) -> Settings {
+    Settings { balancers, classes: vec![class(Effect::Idempotent)], ..Settings::default() }
+}
+
+/// Requests at this pace, each answered in 60 ms by servers that serve; others refuse the connection at once. Where
+/// the requests were answered, how many attempts met a refusal, and how many requests got no answer.
+fn play(
+    rig: &mut Rig,
+    requests: u32,
+    pause_ms: f64,
+    serves: impl Fn(ServerId) -> bool,
+) -> (Vec<ServerId>, u32, u32) {
+    let (mut answered, mut refusals, mut unserved) = (Vec::new(), 0, 0);
+    for _ in 0..requests {
+        let (id, mut sent) = rig.ask(0);
+        let mut attempt = 0;
+        while let Some(server) = sent.filter(|&s| !serves(s)) {
+            refusals += 1;
+            rig.answer(id, attempt, Outcome::ConnectFailed, 0.3);
+            assert!(rig.observer.faults.is_empty(), "{:?} for {server:?}", rig.observer.faults);
+            attempt += 1;
+            sent = rig.sent_to(id);
+        }
+        match sent {
+            Some(server) => {
+                rig.wait(Span::from_ms(pause_ms));
+                rig.answer(id, attempt, Outcome::Success, 60.0);
+                answered.push(server);
+            }
+            None => {
+                unserved += 1;
+                rig.wait(Span::from_ms(pause_ms));
+            }
+        }
+    }
+    (answered, refusals, unserved)
+}
+
+/// Connections stand open for seconds: a balancer with little traffic that went through the whole fleet would hold one
+/// to each server, and never hear of any of them twice while that is news.
+#[test]
+fn little_traffic_keeps_to_few_servers_and_much_goes_to_all() {
+    let servers_of = |pause_ms: f64| {
+        let mut rig = Rig::new(settings(100), 3);
+        rig.list(fleet(60, 1, 1));
+        play(&mut rig, 150, pause_ms, |_| true);
+        let (answered, ..) = play(&mut rig, 150, pause_ms, |_| true);
+        answered.into_iter().collect::<BTreeSet<_>>().len()
+    };
+    let (little, much) = (servers_of(60.0), servers_of(2.0));
+    assert!(little <= 30, "{little} servers in 9 s");
+    assert!(much >= 45, "{much} servers in 0.3 s");
+}
+
+/// Over all balancers the circles spread the load evenly, and none of the servers is left out.
+#[test]
+fn the_circles_of_many_cover_the_fleet() {
+    let mut load = vec![0u32; 60];
+    for seed in 0..100 {
+        let mut rig = Rig::new(settings(100), seed);
+        rig.list(fleet(60, 1, 1));
+        let (answered, ..) = play(&mut rig, 60, 60.0, |_| true);
+        answered.iter().for_each(|s| load[s.0 as usize] += 1);
+    }
+    let (least, most) = (load.iter().min().unwrap(), load.iter().max().unwrap());
+    assert!(*least > 50 && *most < 170, "100 each on the mean, {least} to {most}");
+}
+
+/// After a mass kill the list is old: of ten servers that it names seven are gone and refuse connections.
+#[test]
+fn an_old_list_costs_few_requests_and_few_attempts() {
+    let mut rig = Rig::new(settings(100), 5);
+    rig.list(fleet(60, 1, 1));
+    let (answered, refusals, unserved) = play(&mut rig, 300, 60.0, |s| s.0 % 10 < 3);
+    assert_eq!(answered.len() + unserved as usize, 300);
+    assert!(unserved <= 15, "{unserved} of 300 were not served");
+    assert!(refusals <= 110, "42 servers are gone; {refusals} attempts met them");
+    rig.assert_rules();
+}
+
+/// Discovery works through calls in turn, and those that have waited too long fail: a hundred at once are too many.
+#[test]
+fn balancers_that_start_together_do_not_ask_together() {
+    let first_call = |balancers: u32, seed: u64| {
+        let on_request = Settings { discovery: Discovery::OnRequest, ..settings(balancers) };
+        let mut rig = Rig::new(on_request, seed);
+        rig.tell(Event::List(ListUpdate::Saved(fleet(6, 1, 1))));
+        (0..200).position(|_| rig.wait(Span::from_ms(50.0)).contains(&Action::Follow { active: true }))
+    };
+    let mut slots = [0; 8];
+    for seed in 0..100 {
+        let at = first_call(100, seed).expect("it asks within 10 s");
+        slots[(at / 20).min(7)] += 1;
+    }
+    assert!(slots.iter().all(|&n| n <= 25), "calls by second: {slots:?}");
+    assert!((0..20).all(|seed| first_call(3, seed).is_some_and(|at| at < 8)), "few have no need to wait");
+}
+
+/// After a failure all of them would ask again at once: what each waits grows with how many there are.
+#[test]
+fn a_failed_call_is_repeated_the_later_the_more_ask() {
+    let pause = |balancers: u32| {
+        let mut rig = Rig::new(Settings { discovery: Discovery::OnRequest, ..settings(balancers) }, 4);
+        rig.wait(Span::from_ms(10_000.0));
+        rig.tell(Event::List(ListUpdate::Failed));
+        (0..200).position(|_| rig.wait(Span::from_ms(50.0)).contains(&Action::Follow { active: true }))
+    };
+    let (few, many) = (pause(3).unwrap(), pause(100).unwrap());
+    assert!(few <= 8, "{few} x 50 ms");
+    assert!((40..=130).contains(&many), "{many} x 50 ms, and within what the site asks");
+}
+
+/// A probe that costs as much as a tenth of an answer is not worth what it tells of a moment.
+#[test]
+fn dear_probes_are_sent_seldom() {
+    let probes_at = |price: f64| {
+        let mut settings = settings(100);
+        settings.prices.probe = price;
+        settings.probes = true;
+        settings.report_source = ReportSource::Answers;
+        settings.report_fields = vec![ReportField::Rate, ReportField::ServiceTime, ReportField::Queue];
+        let mut rig = Rig::new(settings, 8);
+        rig.list(fleet(60, 1, 1));
+        let mut probes = 0;
+        let report = || Some(vec![20.0, 60.0, 0.0]);
+        for _ in 0..200 {
+            let (id, mut sent) = rig.ask(0);
+            let mut asked = rig.actions.clone();
+            for _ in 0..4 {
+                for action in std::mem::take(&mut asked) {
+                    if let Action::Probe { server } = action {
+                        probes += 1;
+                        let (outcome, elapsed) = (Outcome::Success, Span::from_ms(1.0));
+                        asked.extend_from_slice(rig.tell(Event::Probed {
+                            server,
+                            outcome,
+                            elapsed,
+                            report: report(),
+                        }));
+                    }
+                }
+                sent = sent.or(sent_in(&asked, id));
+            }
+            rig.wait(Span::from_ms(600.0));
+            if sent.is_some() {
+                rig.answer_with(id, 0, Outcome::Success, 60.0, report());
+            }
+        }
+        probes
+    };
+    let (cheap, dear) = (probes_at(0.01), probes_at(0.08));
+    assert!(dear * 2 < cheap, "{dear} against {cheap} probes for 200 requests");
+}
