--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,7 +74,7 @@
 /// By what servers tell, one is full for the requests of most worth where their answers would come at this
 /// multiple of their aim; and by this much earlier for each e-fold less of worth, so that what is worth least
 /// is shed first. Between classes only the root of their worth counts: the class served worst counts too.
-const FULL: f64 = 0.8;
+const FULL: f64 = 0.9;
 const FULL_LESS: f64 = 0.25;
 /// ... but never so early that a server with nothing to do is full.
 const FULL_LEAST: f64 = 1.5;
@@ -524,10 +524,15 @@
         self.hearsay.of_others(now, self.serving.len(), self.settings.balancers)
     }
 
+    /// What others have at a server. A cold one is not as full as the rest: it would stand idle for that.
+    fn others(&self, now: Time, s: &Server) -> f64 {
+        self.hearsay.others(now, &s.told, self.warmth(s, now) >= 1.0)
+    }
+
     /// All that a server holds, by own counts and by what it has told.
     fn load(&self, now: Time, server: usize) -> f64 {
         let s = &self.servers[server];
-        f64::from(s.in_flight) + self.hearsay.others(now, &s.told)
+        f64::from(s.in_flight) + self.others(now, s)
     }
 
     /// Whether one more request at a server would be answered in time, and leave room for what is worth more.
@@ -582,9 +587,9 @@
             for turn in 0..DRAW_TRIES.min(from.len()) {
                 let i = from[self.rng.usize(0..from.len())];
                 // All balancers together must not push a cold server over: even if it wins every pick it is
-                // drawn for, it gets its warmth's part of a warm one's load. What waits has no second roll.
+                // drawn for, it gets half of what the rule allows. What waits has no second roll.
                 let warmth = self.warmth(&self.servers[i], now);
-                let chance = warmth / DRAWS as f64;
+                let chance = 0.5 * self.settings.overload_factor * warmth / DRAWS as f64;
                 let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
                 if !shut && !tries.contains(&i) && self.open_to(now, &ask, i) {
                     candidates.push(i);
@@ -642,7 +647,7 @@
             let gain = if warm == Some(c) { WARM } else { 1.0 };
             // A suspect drawn for its trial goes first: by its own record it would never be tried.
             let out = if s.probed_at.is_some() { PROBE_OUT } else { 0.0 };
-            let load = (f64::from(s.in_flight) + weight * self.hearsay.others(now, &s.told)).max(out);
+            let load = (f64::from(s.in_flight) + weight * self.others(now, s)).max(out);
             let count = if s.doubt(class).is_some() { 0.0 } else { load + 1.0 };
             let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
             ((load / ALIKE).round() as i32, coin)
@@ -674,7 +679,6 @@
         let fit = |i: usize| servers[i].records[WHOLE].suspicion.is_none();
         let size = ((self.hearsay.own_rate(now) * CIRCLE_S) as usize).max(CIRCLE_LEAST);
         self.circle.retain(|&i| servers[i].listed.status == Status::Serving && fit(i));
-        // Own traffic wobbles; a circle that followed it closely would cost connections for nothing.
         self.circle.truncate(size + size / 2);
         if self.circle.len() < size.min(self.serving.len()) {
             let outside = self.serving.iter().copied().filter(|i| !self.circle.contains(i));
@@ -796,7 +800,6 @@
     fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
-            // A place is free when an answer has come.
             let advice = Span::from_ms(self.usual(live.request.class.0)).min(self.settings.max_retry_after);
             let retry_after = self.settings.retry_after.then_some(advice);
             out.push(Action::Refuse { request: id, retry_after, reason });
@@ -908,8 +911,7 @@
     /// a cut that takes most of the fleet still leaves those.
     fn is_unusual(&self, server: usize, r: usize) -> bool {
         let others = self.serving.iter().filter(|&&i| i != server);
-        let others = others.map(|&i| self.servers[i].records[r].failing);
-        let mut others: Vec<f64> = others.collect();
+        let mut others: Vec<f64> = others.map(|&i| self.servers[i].records[r].failing).collect();
         others.sort_by(f64::total_cmp);
         let usual = others.get(others.len() / 4).copied().unwrap_or(0.0);
         let failures = self.servers[server].records[r].failures;
--- a/src/told.rs
+++ b/src/told.rs
@@ -1,9 +1,9 @@
 //! What servers tell of their load, and how far that is still to be believed. No decision is made here.
 //!
-//! A report says how many requests wait, how many a second are put to work and how long each then takes. By Little's law
-//! (L = rate x time) that gives all that the server holds, whoever sent it. A report ages: what the others have at a server
-//! is believed the less the older it is, and what takes its place is what others have at servers on the whole, which itself
-//! fades once nothing is heard. So no estimate stands for ever, and none can keep a server shut.
+//! A report says how many requests wait, how many a second are answered and how long each took. By Little's law (L = rate x
+//! time) that gives all that the server holds, whoever sent it. Where the time leaves the wait out, it holds what waits at the
+//! least. A report is believed the less the older it is, and what takes its place is what others have at servers on the whole,
+//! which fades once nothing is heard. So no estimate stands for ever, and none can keep a server shut.
 
 use crate::api::{Report, ReportField, Span, Time};
 
@@ -66,9 +66,8 @@
         let waits = self.queue.unwrap_or(0.0);
         match (self.rate, self.service_ms) {
             (Some(rate), Some(service)) if rate > 0.0 && service > 0.0 => {
-                let running = rate * service / 1e3;
-                let time = service + waits / rate * 1e3;
-                Some((self.in_flight.unwrap_or(waits + running), Some(time)))
+                let load = self.in_flight.unwrap_or((rate * service / 1e3).max(waits));
+                Some((load, Some(load / rate * 1e3)))
             }
             _ => self.in_flight.or(self.queue).map(|load| (load, None)),
         }
@@ -167,10 +166,10 @@
         self.others * fading(now.since(self.at), MEAN_AGE)
     }
 
-    /// What others have at a server, by all that has been told.
-    pub fn others(&self, now: Time, told: &Told) -> f64 {
+    /// What others have at a server, by all that has been told; one that is unlike the rest has only what it told itself.
+    pub fn others(&self, now: Time, told: &Told, is_usual: bool) -> f64 {
         let belief = told.at.map_or(0.0, |at| fading(now.since(at), AGE));
-        belief * told.others + (1.0 - belief) * self.mean(now)
+        belief * told.others + if is_usual { (1.0 - belief) * self.mean(now) } else { 0.0 }
     }
 
     /// This balancer sends a request.
--- a/src/told/tests.rs
+++ b/src/told/tests.rs
@@ -12,10 +12,10 @@
 #[test]
 fn a_report_tells_all_that_a_server_holds() {
     let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
-    let word = Word::read(&FIELDS, &[50.0, 240.0, 0.0, 5.0]);
+    let word = Word::read(&FIELDS, &[50.0, 340.0, 0.0, 5.0]);
     hearsay.hear(at(0.0), &mut told, &word, 2.0, 60.0);
-    // 50 a second for 240 ms are 12 at work, and 5 wait; 2 are our own.
-    assert!((hearsay.others(at(0.0), &told) - 15.0).abs() < 1e-9);
+    // 50 a second for 340 ms are 17 there, the 5 that wait among them; 2 are our own.
+    assert!((hearsay.others(at(0.0), &told, true) - 15.0).abs() < 1e-9);
     // 340 ms in place of some 60: three work side by side.
     let breadth = hearsay.breadth(&told).expect("told");
     assert!((2.5..3.6).contains(&breadth), "{breadth}");
@@ -31,10 +31,10 @@
     }
     let word = Word { in_flight: Some(30.0), ..Word::default() };
     hearsay.hear(at(100.0), &mut busy, &word, 0.0, 60.0);
-    let after = |ms: f64| hearsay.others(at(100.0 + ms), &busy);
+    let after = |ms: f64| hearsay.others(at(100.0 + ms), &busy, true);
     assert!(after(0.0) > 29.0 && (8.0..20.0).contains(&after(500.0)), "{}", after(500.0));
     assert!(after(10_000.0) < 0.01, "{}", after(10_000.0));
-    assert!(hearsay.others(at(100.0), &Told::default()) < 9.0);
+    assert!(hearsay.others(at(100.0), &Told::default(), true) < 9.0);
 }
 
 /// What closed agents for good in the lab: odd reports in a row made a server look too narrow for one request.
@@ -48,7 +48,7 @@
             let word = Word::read(&FIELDS, &[figure(), figure(), figure(), figure()]);
             hearsay.hear(at(f64::from(n)), &mut told, &word, 3.0, 60.0);
             assert!(hearsay.breadth(&told).is_none_or(|b| b >= BREADTH_LEAST && b.is_finite()));
-            assert!((0.0..=2e9).contains(&hearsay.others(at(f64::from(n)), &told)));
+            assert!((0.0..=2e9).contains(&hearsay.others(at(f64::from(n)), &told, true)));
         }
     }
 }
@@ -62,6 +62,15 @@
     assert!(!told.is_fresh(at(0.0), Span(1)) && hearsay.breadth(&told).is_none());
 }
 
+/// Where the time is that of the work alone, what waits is not in it.
+#[test]
+fn what_waits_is_there_whatever_the_time_holds() {
+    let (mut hearsay, mut told) = (Hearsay::default(), Told::default());
+    let word = Word::read(&FIELDS, &[50.0, 60.0, 0.0, 30.0]);
+    hearsay.hear(at(0.0), &mut told, &word, 0.0, 60.0);
+    assert!((hearsay.others(at(0.0), &told, true) - 30.0).abs() < 1e-9);
+}
+
 /// What kept restarted servers shut in the lab: by the little load that it got a server looked narrow, was sent little for
 /// that, and never showed more.
 #[test]
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -158,3 +158,32 @@
     let (cheap, dear) = (probes_at(0.01), probes_at(0.08));
     assert!(dear * 2 < cheap, "{dear} against {cheap} probes for 200 requests");
 }
+
+/// After a mass replacement most of the fleet is cold and has told nothing. It was taken to be as full as the others say
+/// that the warm ones are, and stood idle beside them.
+#[test]
+fn cold_servers_take_their_part_while_the_warm_ones_are_busy() {
+    let mut settings = settings(100);
+    settings.report_source = ReportSource::Answers;
+    settings.report_fields = vec![ReportField::Rate, ReportField::ServiceTime, ReportField::Queue];
+    settings.cold_share = 0.4;
+    settings.overload_factor = 4.0;
+    let mut rig = Rig::new(settings, 6);
+    let mut lines = fleet(60, 1, 1);
+    lines.iter_mut().skip(24).for_each(|line| line.started = Some(rig.now));
+    rig.list(lines);
+    let mut cold = 0;
+    for _ in 0..100 {
+        let (id, sent) = rig.ask(0);
+        rig.wait(Span::from_ms(60.0));
+        let Some(server) = sent.or(rig.sent_to(id)) else { continue };
+        let is_cold = server.0 >= 24;
+        cold += u32::from(is_cold);
+        // The warm ones hold four each, the cold ones next to nothing.
+        let report = if is_cold { vec![5.0, 60.0, 0.0] } else { vec![40.0, 100.0, 1.0] };
+        rig.answer_with(id, 0, Outcome::Success, if is_cold { 60.0 } else { 150.0 }, Some(report));
+    }
+    // They have 36 x 0.4 of 60 servers' capacity, a quarter of it all.
+    assert!(cold >= 20, "{cold} of 100 to 36 cold servers of 60");
+    rig.assert_rules();
+}
