--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,7 +36,7 @@
 const PACE_GAIN: f64 = 0.12;
 /// Weight of a new answer in its class's pace; a slower one counts a quarter.
 const CLASS_GAIN: f64 = 0.04;
-/// Errors of a class in a row that make a server suspect, where one broken connection does; and how seldom
+/// Failures in a row that make a server suspect (a connection that never came up is as many); and how seldom
 /// as many come by chance from one that fails as often as the others.
 const FAILURES: u32 = 2;
 const FAILURES_CHANCE: f64 = 0.002;
@@ -58,7 +58,7 @@
 const TRIAL_MOST: Span = Span(4_000_000);
 /// What a trial costs of what is saved up for retries, and must leave there: where many are suspect, trials
 /// must not use up what is asked for.
-const TRIAL_COST: f64 = 3.0;
+const TRIAL_COST: f64 = 0.5;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
@@ -873,8 +873,9 @@
         for r in [WHOLE, of_class].into_iter().filter(|_| tells) {
             // An error of one class does not clear the machine, nor the other way round.
             let (failed, record) = (at_fault == Some(r), &mut s.records[r]);
-            record.failures =
-                if outcome == Outcome::Success { 0 } else { record.failures + u32::from(failed) };
+            // Whoever takes no connection is gone; one that breaks may be the network's doing.
+            let more = if failed && outcome == Outcome::ConnectFailed { FAILURES } else { u32::from(failed) };
+            record.failures = if outcome == Outcome::Success { 0 } else { record.failures + more };
             record.failing += FAILING_GAIN * (f64::from(u8::from(failed)) - record.failing);
         }
         if used > 0.0 {
@@ -915,8 +916,7 @@
         others.sort_by(f64::total_cmp);
         let usual = others.get(others.len() / 4).copied().unwrap_or(0.0);
         let failures = self.servers[server].records[r].failures;
-        failures >= (if r == WHOLE { 1 } else { FAILURES })
-            && usual.powf(f64::from(failures)) < FAILURES_CHANCE
+        failures >= FAILURES && usual.powf(f64::from(failures)) < FAILURES_CHANCE
     }
 
     /// Takes a server out of the draw, for all classes or for one, unless too many are out already.
