--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,9 +56,9 @@
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
-/// What a trial costs of what is saved up for retries, and must leave there: where many are suspect, trials
+/// What a trial costs of what is saved up for retries: where many are suspect, trials
 /// must not use up what is asked for.
-const TRIAL_COST: f64 = 0.5;
+const TRIAL_COST: f64 = 1.5;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
@@ -627,7 +627,7 @@
             && s.listed.status == Status::Serving
             && f64::from(s.in_flight - s.stuck) < (s.limit * self.warmth(s, now)).max(1.0)
             && s.doubt(ask.class)
-                .is_none_or(|q| !q.on_trial && now >= q.next_trial && self.retries >= 2.0 * TRIAL_COST)
+                .is_none_or(|q| !q.on_trial && now >= q.next_trial && self.retries >= TRIAL_COST)
             && self.has_told_room(now, server, ask.stretch)
     }
 
