--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,7 +58,7 @@
 const TRIAL_MOST: Span = Span(4_000_000);
 /// What a trial costs of what is saved up for retries: where many are suspect, trials
 /// must not use up what is asked for.
-const TRIAL_COST: f64 = 1.5;
+const TRIAL_COST: f64 = 1.0;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
