Give trials a budget of their own; ask at once where nobody is known

- An agent that starts with no list waited up to 8 s for its turn at discovery, and nobody could be served.
It asks within 50 ms; after a failure it waits its turn like the rest.
- Trials were paid from the retries' savings.
Each request earns 0.03 of a trial now, one at most is saved.
- A refusal for want of servers said to come back after an answer's time; it says the first trial's pause again.
- The tally counted while it was off, left failed calls out where a list is pushed, and counted only some closes.
Off, it does nothing.
- The circle was refilled in servers x circle steps; it is linear now.
A place in the table of servers is taken in plain words.
- No test noticed trials that starve, a connection that never came up counting for one, or trials without a budget.
Each has one that was seen to fail without its code.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -84,7 +84,10 @@
         let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
         let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
         let server = Server::new(driver.clone(), catalogue, config.client_connections, config.client_crowd);
-        let tally = config.tally_every.map(|every| task(driver.clone().tell_tally(every)));
+        let tally = config.tally_every.map(|every| {
+            driver.tally().switch_on();
+            task(driver.clone().tell_tally(every))
+        });
         let mut tasks = vec![
             task(driver.clone().run()),
             task(platform::run(driver, Rc::clone(&commands), version, pushed)),
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -312,7 +312,6 @@
 
     /// A call to a source has failed.
     pub fn list_failed(&self) {
-        self.tally().count(Count::ListFailed);
         self.tell(Event::List(ListUpdate::Failed));
     }
 }
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -116,6 +116,16 @@
         self.driver.listed(list);
     }
 
+    /// One call; `None` if it failed or took longer than `wait`.
+    async fn call(&self, wait: Duration, line: &mut Option<Line>, path: &str) -> Option<ListReply> {
+        self.driver.tally().count(Count::ListCall);
+        let answer = timeout(wait, call(self.address, line, path)).await.ok().flatten();
+        if answer.is_none() {
+            self.driver.tally().count(Count::ListFailed);
+        }
+        answer
+    }
+
     /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
     /// all times, and a failure is no news to the module, which has asked for nothing.
     async fn watch(&self, pushed: bool) {
@@ -124,8 +134,7 @@
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
         while self.version.get().is_none() {
-            self.driver.tally().count(Count::ListCall);
-            match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
+            match self.call(MOVED_WAIT, &mut line, LIST_PATH).await {
                 Some(list) => self.listed(ListReply { all: true, ..list }),
                 None => sleep(MOVED_PAUSE).await,
             }
@@ -136,10 +145,9 @@
             }
             let version = self.version.get().unwrap_or_default();
             let path = format!("{LIST_PATH}?from={version}&hold_ms={}", HOLD.as_millis());
-            self.driver.tally().count(Count::ListCall);
             let asked = Instant::now();
             let answer = tokio::select! {
-                answer = timeout(HOLD + ANSWER_WAIT, call(self.address, &mut line, &path)) => answer.ok().flatten(),
+                answer = self.call(HOLD + ANSWER_WAIT, &mut line, &path) => answer,
                 _ = following.wait_for(|active| !active) => continue,
             };
             match answer {
@@ -164,8 +172,7 @@
     async fn fetch(&self) {
         loop {
             self.commands.fetch_wanted().await;
-            self.driver.tally().count(Count::ListCall);
-            match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
+            match self.call(ANSWER_WAIT, &mut None, LIST_PATH).await {
                 Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
                 // The watch has brought something newer meanwhile.
                 Some(_) => {}
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -128,8 +128,10 @@
 
     #[test]
     fn the_shipped_files_are_usable() {
-        let shipped = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/limits.toml");
-        assert!(Switches::read(&shipped).expect("usable").limits.is_some());
+        let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
+        let all = Switches::read_all(&[deploy.join("limits.toml"), deploy.join("tally.toml")]);
+        let all = all.expect("usable, also together");
+        assert!(all.limits.is_some() && all.tally.is_some());
         assert_eq!(Switches::parse("").expect("usable"), Switches::default());
     }
 
@@ -141,6 +143,9 @@
             ("[limits]\nclient_connections = 7", "limits.client_connections", "between 8 and"),
             ("[limits]\nserver_connections = -1", "limits.server_connections", "invalid value"),
             ("[limits]\nbody_memory_mb = 0", "limits.body_memory_mb", "between 1 and"),
+            ("[tally]\nevery_ms = 199", "tally.every_ms", "between 200 and"),
+            ("[tally]\nevery_ms = -1", "tally.every_ms", "invalid value"),
+            ("[tally]", "tally", "missing field"),
             ("[limit]", "limit", "unknown field"),
             ("[limits", "", "not TOML"),
         ] {
@@ -153,8 +158,10 @@
 
     #[test]
     fn a_table_in_two_files_is_a_fault() {
-        let one = Switches::parse("[limits]\nclient_connections = 9").expect("usable");
-        assert!(one.clone().with(one.clone()).is_err());
-        assert_eq!(one.clone().with(Switches::default()).expect("usable"), one);
+        for text in ["[limits]\nclient_connections = 9", "[tally]\nevery_ms = 900"] {
+            let one = Switches::parse(text).expect("usable");
+            assert!(one.clone().with(one.clone()).is_err(), "{text}");
+            assert_eq!(one.clone().with(Switches::default()).expect("usable"), one);
+        }
     }
 }
--- a/agent/src/tally.rs
+++ b/agent/src/tally.rs
@@ -1,9 +1,9 @@
 //! Counts of what an agent does, told as one line a period, so that the cost of a whole fleet can be added up: see
-//! `dilljunction-lab tally`. Counting is always on, since it is a few additions; the lines are off unless asked for.
+//! `dilljunction-lab tally`. Off unless a file asks for it; nothing is counted then.
 
 use crate::log::log;
 use ryelead::{Outcome, Reason};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -68,10 +68,16 @@
 
 #[derive(Default)]
 struct Sums {
+    is_on: Cell<bool>,
     counts: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 impl Tally {
+    /// Counts from now on.
+    pub fn switch_on(&self) {
+        self.0.is_on.set(true);
+    }
+
     /// Counts one.
     pub fn count(&self, what: Count) {
         self.add(what, 1);
@@ -79,6 +85,9 @@
 
     /// Counts so many.
     pub fn add(&self, what: Count, number: usize) {
+        if !self.0.is_on.get() {
+            return;
+        }
         *self.0.counts.borrow_mut().entry(what.word()).or_default() += number as u64;
     }
 
@@ -111,6 +120,9 @@
     fn a_line_holds_what_was_counted_since_the_last_one() {
         let tally = Tally::default();
         tally.count(Count::Send);
+        assert_eq!(tally.line(1699, &[]), "tally 1699 |", "off, it counts nothing");
+        tally.switch_on();
+        tally.count(Count::Send);
         tally.add(Count::ListLine, 60);
         tally.count(Count::GivenUp(Reason::WaitedOut));
         assert_eq!(
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -173,7 +173,7 @@
             match pool[i].usable(now, self.rest.limit(), place.life) {
                 Use::Now => return Some(pool.remove(i)),
                 Use::Soon => {}
-                Use::Never => pool.remove(i).task.abort(),
+                Use::Never => self.close(&pool.remove(i)),
             }
         }
         None
@@ -194,18 +194,22 @@
         self.idle.borrow_mut().entry(place.server).or_default().push(idle);
     }
 
+    fn close(&self, idle: &Idle) {
+        self.tally.count(Count::Retired);
+        idle.task.abort();
+    }
+
     /// Makes room for a new connection; false if all are at work.
     fn close_coldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.values_mut().filter(|pool| !pool.is_empty()).min_by_key(|pool| pool[0].since);
-        oldest.map(|pool| pool.remove(0).task.abort()).is_some()
+        oldest.map(|pool| self.close(&pool.remove(0))).is_some()
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: ServerId) {
-        for idle in self.idle.borrow_mut().remove(&server).unwrap_or_default() {
-            idle.task.abort();
-        }
+        let idle = self.idle.borrow_mut().remove(&server);
+        idle.into_iter().flatten().for_each(|idle| self.close(&idle));
     }
 
     /// Closes what has rested long enough, has been closed by its server, or leads to one that is not what it
@@ -217,8 +221,7 @@
                 let keep = is_current(server, idle.life)
                     && idle.usable(now, self.rest.limit(), idle.life) != Use::Never;
                 if !keep {
-                    self.tally.count(Count::Retired);
-                    idle.task.abort();
+                    self.close(idle);
                 }
                 keep
             });
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,9 +56,8 @@
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
-/// What a trial costs of what is saved up for retries: where many are suspect, trials
-/// must not use up what is asked for.
-const TRIAL_COST: f64 = 1.0;
+/// What a request earns of a trial; at most one is saved: many suspects must not use up what is asked for.
+const TRIAL_EARN: f64 = 0.03;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
@@ -274,6 +273,7 @@
     tenant_asked: Vec<f64>,
     counted_at: Time,
     retries: f64,
+    trials: f64,
     hearsay: Hearsay,
     /// How far answers get lost; see [`LOST`].
     lost: f64,
@@ -307,6 +307,7 @@
             tenant_asked: vec![0.0; settings.tenants.len()],
             counted_at: Time(0),
             retries: RETRY_BURST,
+            trials: 1.0,
             hearsay: Hearsay::default(),
             lost: 0.0,
             ask_pause: ASK_AGAIN,
@@ -321,7 +322,7 @@
         if self.settings.discovery == Discovery::OnRequest {
             self.ask_at = Some(now + self.ask_apart() * (2.0 * self.rng.f64()));
         }
-        self.tick(now, out);
+        self.set_tick(now, TICK_IDLE, out);
     }
 
     /// Takes in what has happened by `now` and appends what is to be done about it.
@@ -384,6 +385,7 @@
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
+        self.trials = (self.trials + TRIAL_EARN).min(1.0);
         if hopeless {
             self.end(now, id, Reason::TooLate, out);
         } else if !self.place(now, id, out) {
@@ -626,8 +628,7 @@
         lawful
             && s.listed.status == Status::Serving
             && f64::from(s.in_flight - s.stuck) < (s.limit * self.warmth(s, now)).max(1.0)
-            && s.doubt(ask.class)
-                .is_none_or(|q| !q.on_trial && now >= q.next_trial && self.retries >= TRIAL_COST)
+            && s.doubt(ask.class).is_none_or(|q| !q.on_trial && now >= q.next_trial && self.trials >= 1.0)
             && self.has_told_room(now, server, ask.stretch)
     }
 
@@ -681,8 +682,9 @@
         self.circle.retain(|&i| servers[i].listed.status == Status::Serving && fit(i));
         self.circle.truncate(size + size / 2);
         if self.circle.len() < size.min(self.serving.len()) {
-            let outside = self.serving.iter().copied().filter(|i| !self.circle.contains(i));
-            let mut outside: Vec<usize> = outside.collect();
+            let mut inside = vec![false; servers.len()];
+            self.circle.iter().for_each(|&i| inside[i] = true);
+            let mut outside: Vec<usize> = self.serving.iter().copied().filter(|&i| !inside[i]).collect();
             self.rng.shuffle(&mut outside);
             outside.sort_by_key(|&i| !fit(i));
             self.circle.extend(outside.iter().take(size - self.circle.len()));
@@ -702,7 +704,7 @@
         let trial = [WHOLE, class + 1].into_iter().find(|&r| s.records[r].suspicion.is_some());
         if let Some(q) = trial.and_then(|r| s.records[r].suspicion.as_mut()) {
             q.on_trial = true;
-            self.retries -= TRIAL_COST;
+            self.trials -= 1.0;
         }
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
@@ -800,8 +802,9 @@
     fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
-            let advice = Span::from_ms(self.usual(live.request.class.0)).min(self.settings.max_retry_after);
-            let retry_after = self.settings.retry_after.then_some(advice);
+            let usual = Span::from_ms(self.usual(live.request.class.0));
+            let advice = if reason == Reason::NobodyOpen { usual.max(TRIAL_FIRST) } else { usual };
+            let retry_after = self.settings.retry_after.then_some(advice.min(self.settings.max_retry_after));
             out.push(Action::Refuse { request: id, retry_after, reason });
         } else {
             out.push(Action::Fail { request: id, reason });
@@ -873,7 +876,6 @@
         for r in [WHOLE, of_class].into_iter().filter(|_| tells) {
             // An error of one class does not clear the machine, nor the other way round.
             let (failed, record) = (at_fault == Some(r), &mut s.records[r]);
-            // Whoever takes no connection is gone; one that breaks may be the network's doing.
             let more = if failed && outcome == Outcome::ConnectFailed { FAILURES } else { u32::from(failed) };
             record.failures = if outcome == Outcome::Success { 0 } else { record.failures + more };
             record.failing += FAILING_GAIN * (f64::from(u8::from(failed)) - record.failing);
@@ -984,10 +986,10 @@
                     }
                 }
                 None => {
-                    let fresh = Server::new(line, now, classes);
                     let place = self.free.pop().unwrap_or(self.servers.len());
                     self.index.insert(server, place);
-                    self.servers.splice(place..self.servers.len().min(place + 1), [fresh]);
+                    self.servers.resize_with(self.servers.len().max(place + 1), Server::default);
+                    self.servers[place] = Server::new(line, now, classes);
                 }
             }
         }
@@ -1005,10 +1007,8 @@
     /// Drops the servers that have left for good and that nothing is out to. Under ever new names they would
     /// fill the memory.
     fn forget(&mut self, now: Time) {
-        let over = |s: &Server| {
-            let left = s.gone_at.is_some_and(|at| now.since(at) > self.settings.drain_grace);
-            left && s.in_flight == 0 && s.probed_at.is_none()
-        };
+        let left = |s: &Server| s.gone_at.is_some_and(|at| now.since(at) > self.settings.drain_grace);
+        let over = |s: &Server| left(s) && s.in_flight == 0 && s.probed_at.is_none();
         let dropped: Vec<usize> = self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
         if dropped.is_empty() {
             return;
@@ -1027,7 +1027,8 @@
         if now < self.tick_at {
             return;
         }
-        if self.ask_at.is_some_and(|at| now >= at) {
+        // One that knows nobody can't wait for its turn.
+        if self.ask_at.is_some_and(|at| now >= at || self.index.is_empty() && self.ask_pause == ASK_AGAIN) {
             self.ask_at = None;
             out.push(Action::Follow { active: true });
         }
--- a/src/told.rs
+++ b/src/told.rs
@@ -184,8 +184,7 @@
     }
 
     /// How far a balancer has to go by what so many servers tell, where its own counts and limits say little: from nearly
-    /// 0 for one that sends all their requests to 1 for one of very many.
-    /// Where reports tell no rates, `balancers` are taken to send alike.
+    /// 0 for one that sends all their requests to 1 for one of very many. Without rates, `balancers` send alike.
     pub fn of_others(&self, now: Time, servers: usize, balancers: u32) -> f64 {
         let all = self.rate * servers as f64;
         let share =
--- a/tests/drains_kept.rs
+++ b/tests/drains_kept.rs
@@ -45,7 +45,8 @@
         ..Settings::default()
     };
     let mut rig = Rig::new(settings, 2);
-    assert!(rig.actions.contains(&Action::Follow { active: true }), "followed from the start");
+    let start = rig.wait(Span::from_ms(50.0));
+    assert!(start.contains(&Action::Follow { active: true }), "followed from the start");
     rig.list(fleet(2, 1, 1));
     let mut asked = 0;
     for _ in 0..5 {
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -82,6 +82,9 @@
     assert_eq!(answered.len() + unserved as usize, 300);
     assert!(unserved <= 15, "{unserved} of 300 were not served");
     assert!(refusals <= 110, "42 servers are gone; {refusals} attempts met them");
+    // Then only trials go there, and they are few beside what is asked for.
+    let (_, trials, _) = play(&mut rig, 600, 60.0, |s| s.0 % 10 < 3);
+    assert!((1..=24).contains(&trials), "{trials} trials for 600 requests");
     rig.assert_rules();
 }
 
@@ -103,11 +106,23 @@
     assert!((0..20).all(|seed| first_call(3, seed).is_some_and(|at| at < 8)), "few have no need to wait");
 }
 
+/// What spares discovery must not leave one without a server: nobody can be served while it waits for its turn.
+#[test]
+fn one_that_knows_nobody_asks_at_once_and_again_in_its_turn() {
+    let mut rig = Rig::new(Settings { discovery: Discovery::OnRequest, ..settings(100) }, 4);
+    let follow = Action::Follow { active: true };
+    assert!(rig.wait(Span::from_ms(50.0)).contains(&follow));
+    rig.tell(Event::List(ListUpdate::Failed));
+    assert!(!rig.wait(Span::from_ms(1500.0)).contains(&follow), "it has failed: it must not storm");
+    assert!(rig.wait(Span::from_ms(6000.0)).contains(&follow));
+}
+
 /// After a failure all of them would ask again at once: what each waits grows with how many there are.
 #[test]
 fn a_failed_call_is_repeated_the_later_the_more_ask() {
     let pause = |balancers: u32| {
         let mut rig = Rig::new(Settings { discovery: Discovery::OnRequest, ..settings(balancers) }, 4);
+        rig.tell(Event::List(ListUpdate::Saved(fleet(6, 1, 1))));
         rig.wait(Span::from_ms(10_000.0));
         rig.tell(Event::List(ListUpdate::Failed));
         (0..200).position(|_| rig.wait(Span::from_ms(50.0)).contains(&Action::Follow { active: true }))
@@ -187,3 +202,63 @@
     assert!(cold >= 20, "{cold} of 100 to 36 cold servers of 60");
     rig.assert_rules();
 }
+
+/// A server that takes no connection is gone, and each balancer of many would otherwise have to find that out twice; a
+/// connection that breaks once says nothing: where answers get lost, that takes healthy servers out.
+#[test]
+fn one_connection_that_never_came_up_makes_a_suspect_and_one_that_broke_does_not() {
+    let sent_after = |outcome: Outcome| {
+        let mut rig = Rig::new(settings(100), 9);
+        rig.list(fleet(4, 1, 1));
+        play(&mut rig, 40, 60.0, |_| true);
+        let (id, sent) = rig.ask(0);
+        let faulty = sent.expect("four idle servers");
+        rig.answer(id, 0, outcome, 0.3);
+        rig.answer(id, 1, Outcome::Success, 60.0);
+        // Within the pause before the first trial.
+        let (answered, ..) = play(&mut rig, 24, 10.0, |_| true);
+        answered.iter().filter(|s| **s == faulty).count()
+    };
+    assert_eq!(sent_after(Outcome::ConnectFailed), 0);
+    assert!(sent_after(Outcome::ConnectionReset) > 0);
+}
+
+/// On the second deployment requests whose answers got lost used up what is saved for retries, and trials, which had to
+/// leave half a dozen of them, never came: healthy servers stayed out.
+#[test]
+fn trials_go_on_where_retries_are_used_up() {
+    let mut rig = Rig::new(settings(100), 9);
+    rig.list(fleet(4, 1, 1));
+    play(&mut rig, 40, 60.0, |_| true);
+    let out = ServerId(2);
+    play(&mut rig, 60, 10.0, |s| s != out);
+    // At first each request is turned away once, then every tenth: that uses up what is saved and all that is earned.
+    let mut tried = 0;
+    for n in 0..500 {
+        let (id, mut sent) = rig.ask(0);
+        let mut attempt = 0;
+        if (n < 100 || n % 10 == 0) && sent.is_some_and(|s| s != out) {
+            rig.answer(id, attempt, Outcome::Rejected, 1.0);
+            attempt += 1;
+            sent = rig.sent_to(id);
+        }
+        tried += u32::from(sent == Some(out));
+        rig.wait(Span::from_ms(20.0));
+        rig.answer(id, attempt, Outcome::Success, 20.0);
+    }
+    assert!(tried >= 20, "{tried} of 500 to a server that has been back for 10 s");
+}
+
+/// Where nobody may be sent to, an answer's time is no use as advice: the first trial comes later than that.
+#[test]
+fn a_refusal_for_want_of_servers_says_when_one_is_tried_again() {
+    let mut rig = Rig::new(Settings { retry_after: true, ..settings(1) }, 2);
+    rig.list(Vec::new());
+    let (id, _) = rig.ask(0);
+    let all: Vec<Action> = rig.actions.clone().into_iter().chain(rig.wait(Span::from_ms(800.0))).collect();
+    let advice = all.iter().find_map(|a| match a {
+        Action::Refuse { request, retry_after, .. } if *request == id => *retry_after,
+        _ => None,
+    });
+    assert!(advice.is_some_and(|after| after >= Span::from_ms(250.0)), "{advice:?}");
+}
