Add the operators' door, the drain of an agent, and the inherited listening socket

Change: one state machine, lifecycle.rs, says what readiness answers, whether to accept, what may rest and when to exit; the stop on SIGTERM is one of its paths. clients.rs shares it between the two fronts and the owner. fronts/admin.rs is the door, apart from the clients' seats and budgets. inherit.rs takes over the socket that LB_LISTEN_FD names, through listenfd's safe call. At a hand-over the old process stops accepting at once, since the queue is the platform's and so the new one's; what is open is asked once more in the next second and ends with its answer, which no request can cross.

Rejected: letting the module know of the drain (it would take the agent for a server); pidfd_getfd for the descriptor (safe as well, but refused by common system-call filters); no Recovering state, since after `ok` a process without a usable list is Starting again.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -1,30 +1,30 @@
 //! One agent, whole: started from its configuration, serving until it is told to stop.
 
 use crate::budget::Budget;
+use crate::clients::Clients;
 use crate::config::Config;
 use crate::driver::Driver;
+use crate::fronts::admin;
 use crate::fronts::plain::intake::{Catalogue, Class};
 use crate::fronts::plain::server::Server;
+use crate::lifecycle::LifeCycle;
 use crate::list::Commands;
 use crate::log::log;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
 use crate::upstream::pool::Pool;
 use ryelead::{Discovery, ReportSource, Settings, Span};
-use std::future::Future;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::sleep;
 
-/// After a stop new connections go on coming for a while, and are served.
-const ACCEPT_ON: Duration = Duration::from_millis(500);
-/// Once nothing is owed, connections that have not been used yet are given this long.
-const LINGER: Duration = Duration::from_millis(400);
-/// The end, counted from the stop over the longest deadline.
-const STOP_SLACK: Duration = Duration::from_millis(300);
+/// How often it is looked whether a stop is over.
+const END_EVERY: Duration = Duration::from_millis(5);
 
 fn length(span: Span) -> Duration {
     Duration::from_micros(span.0)
@@ -49,8 +49,9 @@
     server: Rc<Server>,
     listener: TcpListener,
     address: SocketAddr,
+    admin: Option<SocketAddr>,
+    clients: Rc<Clients>,
     commands: Rc<Commands>,
-    longest: Duration,
     _tasks: Vec<Task>,
 }
 
@@ -83,7 +84,10 @@
         let version = config.known.as_ref().map_or(0, |list| list.rev);
         let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
         let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-        let server = Server::new(driver.clone(), catalogue, config.client_connections, config.client_crowd);
+        let life = LifeCycle::new(config.listener.is_some(), longest);
+        let clients = Rc::new(Clients::new(life, driver.clone()));
+        let room = (config.client_connections, config.client_crowd);
+        let server = Server::new(driver.clone(), Rc::clone(&clients), catalogue, room);
         let tally = config.tally_every.map(|every| {
             driver.tally().switch_on();
             task(driver.clone().tell_tally(every))
@@ -94,11 +98,18 @@
             task(Rc::clone(&server).sweep()),
         ];
         tasks.extend(tally);
-        let listener = TcpListener::bind(config.listen)
-            .await
-            .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+        let listener = match config.listener {
+            Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("cannot listen: {e}"))?,
+            None => listen(config.listen).await?,
+        };
         let address = listener.local_addr().map_err(|e| e.to_string())?;
-        Ok(Agent { server, listener, address, commands, longest, _tasks: tasks })
+        let mut admin = None;
+        if let Some(at) = config.admin {
+            let door = listen(at).await.map_err(|e| format!("admin: {e}"))?;
+            admin = door.local_addr().ok();
+            tasks.push(task(admin::run(door, Rc::clone(&clients))));
+        }
+        Ok(Agent { server, listener, address, admin, clients, commands, _tasks: tasks })
     }
 
     /// Where clients connect.
@@ -106,6 +117,11 @@
         self.address
     }
 
+    /// Where operators call, if they do.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
     /// What moves this agent to another address of discovery while it serves.
     pub fn mover(&self) -> impl Fn(SocketAddr) + 'static {
         let commands = Rc::clone(&self.commands);
@@ -116,27 +132,43 @@
         }
     }
 
-    /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed, and 0.3 s
-    /// over the longest deadline of a class at the latest.
+    /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed (1.4 s where
+    /// the platform holds the socket), and 0.3 s over the longest deadline of a class at the latest.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
-        let Agent { server, listener, longest, _tasks, .. } = self;
-        tokio::select! {
-            () = server.accept(&listener) => {}
-            () = stop => {}
-        }
-        // Clients go on coming until they have noticed; what they send is served to the end.
-        let stop = Instant::now();
-        server.begin_stop();
-        let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
-        drop(listener);
-        server.close_all();
-        let quiet_from = stop + ACCEPT_ON + LINGER;
-        let last = stop + longest + STOP_SLACK;
-        while server.connections() > 0 && Instant::now() < last {
-            if server.owed() == 0 && Instant::now() >= quiet_from {
-                break;
+        let Agent { server, listener, clients, _tasks, .. } = self;
+        let mut listener = Some(listener);
+        let mut stop = pin!(stop);
+        let mut stopped = false;
+        loop {
+            clients.look();
+            let accepting = async {
+                match &listener {
+                    Some(listener) if clients.accepts() => server.accept(listener).await,
+                    // Until there is a server to send to, which lists bring.
+                    _ if !stopped => sleep(END_EVERY).await,
+                    _ => pending().await,
+                }
+            };
+            tokio::select! {
+                () = accepting => {}
+                () = clients.changed() => {}
+                () = stop.as_mut(), if !stopped => {
+                    clients.stop();
+                    stopped = true;
+                }
+                () = sleep(END_EVERY), if stopped => {}
+            }
+            if stopped && !clients.accepts() {
+                listener = None;
+            }
+            server.settle();
+            if clients.exits(server.connections(), server.owed()) {
+                return;
             }
-            sleep(Duration::from_millis(5)).await;
         }
     }
 }
+
+async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
+}
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,17 +1,19 @@
 //! What the agent is told at its start, by the environment and the file that it names.
 
 use crate::fault::Fault;
+use crate::inherit;
 use crate::list::ListReply;
 use crate::switches::{read_bounded, Switches};
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::time::Duration;
 
-/// Descriptors kept back for the listener, discovery, the runtime and accepted connections on their way out.
+/// Descriptors kept back for the listeners, operators (16), discovery, the runtime and accepted connections on their way
+/// out.
 const RESERVE: usize = 48;
 /// What a deployment that states no limit is taken to allow.
 const SOCKETS_DEFAULT: usize = 1024;
@@ -32,6 +34,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    admin: Option<String>,
+    #[serde(default)]
     seed: Option<serde_json::Value>,
     #[serde(default)]
     limits: Limits,
@@ -47,10 +51,22 @@
     memory_mb: Option<f64>,
 }
 
+/// Addresses that overrule those of the file.
+#[derive(Default)]
+struct Addresses {
+    listen: Option<String>,
+    discovery: Option<String>,
+    admin: Option<String>,
+}
+
 /// All that the agent is told.
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The socket for them, if the platform holds it.
+    pub listener: Option<TcpListener>,
+    /// Where operators call, if they do.
+    pub admin: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -72,25 +88,30 @@
 }
 
 impl Config {
-    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN` and `LB_DISCOVERY` overrule what it says.
+    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY` and `LB_ADMIN` overrule what it says. Takes over
+    /// the socket that `LB_LISTEN_FD` names, if it does.
     pub fn from_env(switches: Switches) -> Result<Config, Fault> {
         let path = var("LB_CONFIG")
             .ok_or_else(|| Fault::of_all("LB_CONFIG is not set; it must name the configuration file"))?;
         let of_file = |fault: Fault| fault.in_file(&path);
         let file = read(Path::new(&path)).map_err(of_file)?;
-        Config::new(file, switches, var("LB_LISTEN"), var("LB_DISCOVERY")).map_err(of_file)
+        let over =
+            Addresses { listen: var("LB_LISTEN"), discovery: var("LB_DISCOVERY"), admin: var("LB_ADMIN") };
+        let config = Config::new(file, switches, over).map_err(of_file)?;
+        let listener = inherit::listener(config.listen)?;
+        Ok(Config { listener, ..config })
     }
 
     /// Reads a configuration file as if `LB_CONFIG` named it.
     pub fn read(path: &Path, switches: Switches) -> Result<Config, Fault> {
         read(path)
-            .and_then(|file| Config::new(file, switches, None, None))
+            .and_then(|file| Config::new(file, switches, Addresses::default()))
             .map_err(|fault| fault.in_file(path))
     }
 
     /// Reads the text of a configuration file.
     pub fn parse(text: &[u8], switches: Switches) -> Result<Config, Fault> {
-        Config::new(parse(text)?, switches, None, None)
+        Config::new(parse(text)?, switches, Addresses::default())
     }
 
     /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
@@ -107,12 +128,7 @@
             .map_err(|fault| fault.in_file(&path))
     }
 
-    fn new(
-        file: File,
-        switches: Switches,
-        listen: Option<String>,
-        discovery: Option<String>,
-    ) -> Result<Config, Fault> {
+    fn new(file: File, switches: Switches, over: Addresses) -> Result<Config, Fault> {
         file.settings.settings().validate().map_err(|e| Fault::of_key("settings", e.to_string()))?;
         if file.settings.class_names().iter().any(String::is_empty) {
             return Err(Fault::of_key("settings.classes", "a request class has no name"));
@@ -144,9 +160,19 @@
             None => (sockets / 6, sockets / 4),
         };
         let bodies = own.body_memory_mb.map(|mb| mb as usize * 1024 * 1024);
+        let listen = address("listen", over.listen.or(file.listen))?;
+        let admin = over.admin.or(file.admin).map(|text| address("admin", Some(text))).transpose()?;
+        if admin.is_some_and(|admin| admin == listen && admin.port() != 0) {
+            return Err(Fault::of_key(
+                "admin",
+                format!("{listen} is the address for clients; operators need their own"),
+            ));
+        }
         Ok(Config {
-            listen: address("listen", listen.or(file.listen))?,
-            discovery: address("discovery", discovery.or(file.discovery))?,
+            listen,
+            listener: None,
+            admin,
+            discovery: address("discovery", over.discovery.or(file.discovery))?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             client_connections,
             client_crowd: crowd,
@@ -218,7 +244,8 @@
         let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
         assert!(held <= 16.0 * 1024.0 * 1024.0 && small.client_connections > 250);
         let file = super::parse(text.as_bytes()).expect("readable");
-        let over = Config::new(file, Switches::default(), Some("127.0.0.2:90".into()), None).expect("usable");
+        let over = Addresses { listen: Some("127.0.0.2:90".into()), ..Addresses::default() };
+        let over = Config::new(file, Switches::default(), over).expect("usable");
         assert_eq!(over.listen.to_string(), "127.0.0.2:90");
     }
 
--- /dev/null
+++ b/agent/src/fronts/admin.rs
@@ -0,0 +1,131 @@
+//! The operators' door: a few calls that show and change the life of this process. It shares nothing with the clients'
+//! front, so that a crowd there keeps nobody waiting here.
+
+use crate::clients::Clients;
+use crate::log::log;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ALLOW};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, yield_now, AbortHandle};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+/// Most callers at once; their descriptors come out of those that are kept back.
+pub const CALLERS_MOST: usize = 16;
+/// A caller who has not been answered by then says nothing, or only half a call.
+const CALL_WAIT: Duration = Duration::from_secs(2);
+/// In a full house the oldest makes room once it has had this long to say its call.
+const CALL_FAIR: Duration = Duration::from_millis(50);
+/// The largest head of a call, and its lines.
+const HEAD_MOST: usize = 8 * 1024;
+const HEADERS_MOST: usize = 64;
+/// What a caller sends besides is read and thrown away up to here: a close with bytes unread would take the answer back.
+const BODY_MOST: usize = 64 * 1024;
+const BODY_WAIT: Duration = Duration::from_millis(500);
+/// Pause after an accept that failed for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// One who calls.
+struct Caller {
+    since: Instant,
+    task: AbortHandle,
+}
+
+/// Answers calls until dropped.
+pub async fn run(listener: TcpListener, clients: Rc<Clients>) {
+    let mut callers: VecDeque<Caller> = VecDeque::new();
+    loop {
+        callers.retain(|caller| !caller.task.is_finished());
+        if callers.len() >= CALLERS_MOST {
+            make_room(&mut callers).await;
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let call = timeout(CALL_WAIT, converse(stream, Rc::clone(&clients)));
+                let task = spawn_local(async move {
+                    let _ = call.await;
+                });
+                callers.push_back(Caller { since: Instant::now(), task: task.abort_handle() });
+                // Whoever has spoken is answered before the next is let in.
+                yield_now().await;
+            }
+            Err(e) => {
+                log(&format!("cannot accept at the operators' address: {e}"));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// The oldest goes, once it has had its time.
+async fn make_room(callers: &mut VecDeque<Caller>) {
+    let Some(oldest) = callers.pop_front() else { return };
+    sleep_until(oldest.since + CALL_FAIR).await;
+    oldest.task.abort();
+    yield_now().await;
+}
+
+async fn converse(stream: TcpStream, clients: Rc<Clients>) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let clients = Rc::clone(&clients);
+        async move {
+            let (head, body) = request.into_parts();
+            let answer = answer(&clients, &head.method, head.uri.path());
+            discard(body).await;
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.keep_alive(false).header_read_timeout(None).max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn discard(mut body: Incoming) {
+    let all = async {
+        let mut left = BODY_MOST;
+        while let Some(Ok(frame)) = body.frame().await {
+            let Some(rest) = left.checked_sub(frame.data_ref().map_or(1, Bytes::len)) else { return };
+            left = rest;
+        }
+    };
+    let _ = timeout(BODY_WAIT, all).await;
+}
+
+fn answer(clients: &Clients, method: &Method, path: &str) -> Response<Full<Bytes>> {
+    let allowed = match path {
+        "/healthcheck" => Method::GET,
+        "/healthcheck/fail" | "/healthcheck/ok" => Method::POST,
+        _ => return said(StatusCode::NOT_FOUND, "no such call"),
+    };
+    if *method != allowed {
+        let mut answer = said(StatusCode::METHOD_NOT_ALLOWED, "not with this method");
+        let allowed = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
+        answer.headers_mut().insert(ALLOW, allowed);
+        return answer;
+    }
+    match path {
+        "/healthcheck/fail" => clients.fail(),
+        "/healthcheck/ok" if clients.ok().is_err() => return said(StatusCode::CONFLICT, "stopping"),
+        _ => {}
+    }
+    let status = match path {
+        "/healthcheck" if !clients.takes_clients() => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::OK,
+    };
+    said(status, clients.phase().name())
+}
+
+fn said(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *answer.status_mut() = status;
+    answer
+}
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -238,9 +238,18 @@
         }
     }
 
-    /// Closes the connections that are idle, and the others after their answer.
-    pub fn close_all(&self) {
-        self.seats.borrow().values().for_each(|seat| seat.tell(End::Gently));
+    /// Ends the connections that are idle, and the others after their answer.
+    pub fn end_all(&self) {
+        let seats = self.seats.borrow();
+        seats.values().filter(|seat| seat.end.get().is_none()).for_each(|seat| seat.tell(End::Gently));
+    }
+
+    /// Ends now all that owe no answer, but for those whose request has come unread.
+    pub fn end_all_at_once(&self) {
+        for seat in self.seats.borrow().values() {
+            let owes = seat.phase.get() == Phase::Busy || seat.view.has_unread();
+            seat.tell(if owes { End::Gently } else { End::AtOnce });
+        }
     }
 
     /// How many owe an answer, or have begun to read a request and so may owe one soon.
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -2,7 +2,9 @@
 
 use super::intake::{check_end, Catalogue, Taken};
 use super::seats::{End, Seat, Seats};
+use crate::clients::Clients;
 use crate::driver::Driver;
+use crate::lifecycle::Rest;
 use crate::log::log;
 use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
@@ -13,7 +15,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use ryelead::{RequestId, Span};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -38,20 +39,25 @@
 /// The clients' side of the agent.
 pub struct Server {
     driver: Driver,
+    clients: Rc<Clients>,
     catalogue: Catalogue,
     seats: Seats,
     open: Gauge,
     open_most: usize,
     /// Beyond so many, those that rest are closed; and beyond so many, all after their answer.
     crowd: (usize, usize),
-    stopping: Cell<bool>,
 }
 
 impl Server {
     /// Serves nobody yet.
-    pub fn new(driver: Driver, catalogue: Catalogue, open_most: usize, crowd: (usize, usize)) -> Rc<Self> {
-        let (seats, open, stopping) = Default::default();
-        Rc::new(Server { driver, catalogue, seats, open, open_most, crowd, stopping })
+    pub fn new(
+        driver: Driver,
+        clients: Rc<Clients>,
+        catalogue: Catalogue,
+        (open_most, crowd): (usize, (usize, usize)),
+    ) -> Rc<Self> {
+        let (seats, open) = Default::default();
+        Rc::new(Server { driver, clients, catalogue, seats, open, open_most, crowd })
     }
 
     /// Accepts connections until dropped.
@@ -86,17 +92,17 @@
         loop {
             sleep(SWEEP_EVERY).await;
             self.seats.sweep(self.crowd.0);
+            self.settle();
         }
     }
 
-    /// From now on every answer ends its connection.
-    pub fn begin_stop(&self) {
-        self.stopping.set(true);
-    }
-
-    /// Closes the connections that are idle, and the others after their answer.
-    pub fn close_all(&self) {
-        self.seats.close_all();
+    /// Ends the connections that may not rest any longer.
+    pub fn settle(&self) {
+        match self.clients.rest() {
+            Rest::Stay => {}
+            Rest::End => self.seats.end_all(),
+            Rest::EndAtOnce => self.seats.end_all_at_once(),
+        }
     }
 
     /// How many connections are open.
@@ -116,7 +122,7 @@
                 seat.begin();
                 let mut answer = server.handle(&seat, request).await;
                 // Clients that ask once and stay would leave the others none of the connections that all may hold.
-                if server.stopping.get() || server.open.count() > server.crowd.1 {
+                if server.clients.ends_connections() || server.open.count() > server.crowd.1 {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 seat.answer(answer.headers().contains_key(CONNECTION));
@@ -138,15 +144,15 @@
                     return;
                 }
             }
-            // hyper would close one that has had no request yet. At a stop its client has just come and is about to
-            // ask, with no listener left to turn to: it keeps its connection for that one answer.
-            if seat.is_used() || !self.stopping.get() {
+            // hyper would close one that has had no request yet. At a stop or in a drain its client has just come and
+            // is about to ask, perhaps with no listener left to turn to: it keeps its connection for that one answer.
+            if seat.is_used() || !self.clients.ends_connections() {
                 connection.as_mut().graceful_shutdown();
             }
             // What is left is to pass on an answer that is owed or has been given; a client that does not read, or
             // has begun a request and says no more, must not keep its seat.
             while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err()
-                && (seat.is_busy() || self.stopping.get())
+                && (seat.is_busy() || self.clients.ends_connections())
             {}
         };
         let at_once = async { while seat.ended().await != End::AtOnce {} };
@@ -159,7 +165,7 @@
     /// One request, one answer.
     async fn handle(&self, seat: &Seat, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if request.uri().path() == "/health/ready" && request.method() == Method::GET {
-            let ready = self.driver.can_decide();
+            let ready = self.clients.is_ready();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let answer = match self.catalogue.take(seat, request).await {
--- /dev/null
+++ b/agent/src/inherit.rs
@@ -0,0 +1,38 @@
+//! The listening socket that the platform holds and every process inherits, named in `LB_LISTEN_FD`.
+
+use crate::fault::Fault;
+use listenfd::ListenFd;
+use std::env;
+use std::net::{SocketAddr, TcpListener};
+
+/// Names the descriptor.
+const VARIABLE: &str = "LB_LISTEN_FD";
+
+/// Takes over the inherited socket, which must listen at `expected`; `None` if the environment names none. It works once
+/// in a process: the descriptor has one owner from then on.
+pub fn listener(expected: SocketAddr) -> Result<Option<TcpListener>, Fault> {
+    let Some(text) = env::var(VARIABLE).ok().filter(|text| !text.is_empty()) else { return Ok(None) };
+    let fault = |reason: String| Fault::of_key(VARIABLE, reason);
+    let fd: i32 = text.parse().map_err(|_| fault(format!("{text:?} is no number of a descriptor")))?;
+    if fd < 3 {
+        return Err(fault(format!("{fd} is no listening socket: 0 to 2 are the standard streams")));
+    }
+    // The library takes what it is told in the variables of another convention.
+    env::set_var("LISTEN_FDS", "1");
+    env::set_var("LISTEN_FDS_FIRST_FD", &text);
+    env::remove_var("LISTEN_PID");
+    let taken = ListenFd::from_env().take_tcp_listener(0);
+    env::remove_var("LISTEN_FDS_FIRST_FD");
+    let listener = taken.map_err(|e| fault(e.to_string()))?.ok_or_else(|| fault(format!("{fd} is taken")))?;
+    let address = listener.local_addr().map_err(|e| fault(e.to_string()))?;
+    // Any port was asked for: whatever the platform has found is the one.
+    let same = address == expected || (expected.port() == 0 && address.ip() == expected.ip());
+    if !same {
+        return Err(fault(format!("listens at {address}, and the address for clients is {expected}")));
+    }
+    if !socket2::SockRef::from(&listener).is_listener().unwrap_or(false) {
+        return Err(fault(format!("descriptor {fd} does not listen")));
+    }
+    listener.set_nonblocking(true).map_err(|e| fault(e.to_string()))?;
+    Ok(Some(listener))
+}
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod agent;
 mod budget;
+mod clients;
 mod clock;
 mod config;
 mod driver;
@@ -28,6 +29,8 @@
 mod fleet;
 mod fronts;
 mod head;
+mod inherit;
+mod lifecycle;
 mod list;
 mod log;
 mod requests;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -10,8 +10,8 @@
 /// A load balancer beside its client: it decides which server gets a request, whether it is tried again, and when it is
 /// refused.
 ///
-/// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON), and LB_LISTEN and
-/// LB_DISCOVERY overrule two of its keys. SIGTERM ends it gently; SIGHUP moves it to where the configuration names
+/// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON); LB_LISTEN, LB_DISCOVERY
+/// and LB_ADMIN overrule three of its keys, and LB_LISTEN_FD names a listening socket to take over. SIGTERM ends it gently; SIGHUP moves it to where the configuration names
 /// discovery now.
 #[derive(Parser)]
 #[command(name = "dilljunction", version, args_conflicts_with_subcommands = true)]
@@ -110,6 +110,9 @@
     let config = Config::from_env(switches).map_err(|fault| fault.to_string())?;
     let agent = Agent::start(config).await?;
     spawn_local(reload(hangup, agent.mover()));
+    if let Some(admin) = agent.admin() {
+        log(&format!("operators call at {admin}"));
+    }
     log(&format!("listening on {}", agent.address()));
     let stop = async {
         let _ = term.recv().await;
--- /dev/null
+++ b/agent/tests/loopback/operators.rs
@@ -0,0 +1,193 @@
+//! The operators' door, the drain of an agent, and a listening socket that outlives its processes.
+
+use dilljunction_lab::standins::hand::*;
+use std::net::{SocketAddr, TcpListener};
+
+/// An agent with a door.
+fn with_door(backend: &Backend) -> (Agent, Discovery, SocketAddr) {
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let agent = Agent::start(&door(&config(discovery.address, &line, SETTINGS, 1024)));
+    let admin = agent.admin.expect("a door");
+    (agent, discovery, admin)
+}
+
+/// The same configuration, with a door at any port.
+fn door(config: &str) -> String {
+    config.replacen('{', r#"{"admin":"127.0.0.1:0","#, 1)
+}
+
+fn call(admin: SocketAddr, line: &str) -> u16 {
+    Client::at(admin).ask(&format!("{line} HTTP/1.1\r\nHost: agent\r\n\r\n")).status()
+}
+
+fn readiness(agent: &Agent) -> u16 {
+    Client::to(agent).ask("GET /health/ready HTTP/1.1\r\nHost: agent\r\n\r\n").status()
+}
+
+#[test]
+fn calls_are_answered_and_what_is_no_call_gets_a_plain_no() {
+    let backend = Backend::new(|_| ok("x"));
+    let (agent, _discovery, admin) = with_door(&backend);
+    assert_eq!(call(admin, "GET /healthcheck"), 200);
+    assert_eq!(call(admin, "POST /healthcheck/ok"), 200, "nothing to end is no error");
+    assert_eq!(call(admin, "GET /health/ready"), 404, "the clients' calls are not answered here");
+    assert_eq!(call(admin, "PUT /healthcheck/fail"), 405);
+    let wrong = Client::at(admin).ask("GET /healthcheck/fail HTTP/1.1\r\nHost: agent\r\n\r\n");
+    assert_eq!((wrong.status(), wrong.header("Allow")), (405, Some("POST")));
+    assert_eq!(call(admin, "no call at all"), 400);
+    assert_eq!(call(admin, &format!("GET /{}", "x".repeat(7000))), 404);
+    let mut long = Client::at(admin);
+    let _ = std::io::Write::write_all(&mut long.stream, &[b'x'; 100_000]);
+    assert!(long.read().is_none_or(|answer| (400..500).contains(&answer.status())));
+    // A body that nobody wants costs the answer nothing.
+    let body = "POST /healthcheck/ok HTTP/1.1\r\nHost: agent\r\nContent-Length: 4\r\n\r\nbody";
+    assert_eq!(Client::at(admin).ask(body).status(), 200);
+    assert_eq!(readiness(&agent), 200, "none of it was an order");
+}
+
+/// Callers who say nothing, or half of a call, fill the house; whoever speaks is answered all the same.
+#[test]
+fn silent_callers_keep_nobody_waiting() {
+    let backend = Backend::new(|_| ok("x"));
+    let (_agent, _discovery, admin) = with_door(&backend);
+    let mut silent: Vec<Client> = Vec::new();
+    for i in 0..100 {
+        let mut client = Client::at(admin);
+        if i % 2 == 0 {
+            client.write("GET /healthch");
+        }
+        silent.push(client);
+    }
+    assert_eq!(call(admin, "GET /healthcheck"), 200);
+    for client in &mut silent {
+        assert!(client.ends(), "nobody stays for ever");
+    }
+}
+
+/// The process lives on through a drain: it answers what it has, and serves who still comes, once.
+#[test]
+fn a_drain_sends_the_clients_away_and_ok_brings_them_back() {
+    let (backend, release) = Backend::gated();
+    let (agent, _discovery, admin) = with_door(&backend);
+    let mut idle = Client::to(&agent);
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    let mut used = Client::to(&agent);
+    assert_eq!(used.ask(&request("read", 9000)).status(), 200);
+    let mut silent = Client::to(&agent);
+    let mut half = Client::to(&agent);
+    half.write("GET /re");
+    let mut busy = Client::to(&agent);
+    busy.write(&request("once", 9000));
+    backend.heard.wait(3);
+    assert_eq!(call(admin, "POST /healthcheck/fail"), 200);
+    assert_eq!(readiness(&agent), 503);
+    assert_eq!(call(admin, "POST /healthcheck/fail"), 200, "said twice");
+    assert_eq!(call(admin, "GET /healthcheck"), 503, "no clients are taken");
+    let last = used.ask(&request("read", 9000));
+    assert_eq!((last.status(), last.header("Connection")), (200, Some("close")));
+    let late = Client::to(&agent).ask(&request("read", 9000));
+    assert_eq!((late.status(), late.header("Connection")), (200, Some("close")));
+    for client in [&mut used, &mut idle, &mut silent, &mut half] {
+        assert!(client.ends(), "no connection rests");
+    }
+    release.one();
+    assert_eq!(busy.read().map(|m| m.status()), Some(200), "what was taken is answered");
+    assert_eq!(call(admin, "POST /healthcheck/ok"), 200);
+    assert_eq!((readiness(&agent), call(admin, "GET /healthcheck")), (200, 200));
+    let mut back = Client::to(&agent);
+    let answer = back.ask(&request("read", 9000));
+    assert_eq!((answer.status(), answer.header("Connection")), (200, None));
+    assert_eq!(back.ask(&request("read", 9000)).status(), 200, "connections stay open again");
+}
+
+/// An agent that knows no server takes no clients; SIGTERM in a drain ends it as any other.
+#[test]
+fn sigterm_ends_a_drain() {
+    let discovery = Discovery::new(String::new());
+    let mut agent = Agent::start(&door(&config(discovery.address, "", SETTINGS, 1024)));
+    let admin = agent.admin.expect("a door");
+    assert_eq!((call(admin, "GET /healthcheck"), readiness(&agent)), (503, 503));
+    assert_eq!(call(admin, "POST /healthcheck/fail"), 200);
+    agent.terminate();
+    assert_eq!(agent.ended(), Some(0));
+}
+
+/// The platform holds the socket and starts one process after another on it: who asks meanwhile is answered by one of them.
+#[test]
+fn a_new_process_takes_over_the_listening_socket() {
+    let (backend, release) = Backend::gated();
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = config(discovery.address, &line, SETTINGS, 1024);
+    let text = door(&text.replace("127.0.0.1:0", &listener.local_addr().unwrap().to_string()));
+    let mut old = Agent::inheriting(&text, &listener);
+    let mut busy = Client::to(&old);
+    busy.write(&request("once", 9000));
+    backend.heard.wait(1);
+    let mut resting = Client::to(&old);
+    assert_eq!(resting.ask(&request("read", 9000)).status(), 200);
+    for round in 0..3 {
+        let new = Agent::inheriting(&text, &listener);
+        assert_eq!(call(new.admin.unwrap(), "GET /healthcheck"), 200);
+        old.terminate();
+        // Whoever accepts now, nobody is turned away at the door.
+        for _ in 0..50 {
+            assert_eq!(Client::to(&new).ask(&request("read", 9000)).status(), 200, "upgrade {round}");
+        }
+        if round == 0 {
+            let last = resting.ask(&request("read", 9000));
+            assert_eq!((last.status(), last.header("Connection")), (200, Some("close")));
+            release.one();
+            assert_eq!(busy.read().map(|m| m.status()), Some(200), "what was taken is answered");
+        }
+        assert_eq!(old.ended(), Some(0));
+        old = new;
+    }
+    assert_eq!(Client::to(&old).ask(&request("read", 9000)).status(), 200);
+}
+
+/// A process that can't decide yet leaves the queue to the one that can.
+#[test]
+fn a_new_process_without_a_list_takes_no_client_from_the_old_one() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let (discovery, empty) = (Discovery::new(line.clone()), Discovery::new(String::new()));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap().to_string();
+    let old = config(discovery.address, &line, SETTINGS, 1024).replace("127.0.0.1:0", &at);
+    let old = Agent::inheriting(&door(&old), &listener);
+    let new = config(empty.address, "", SETTINGS, 1024).replace("127.0.0.1:0", &at);
+    let new = Agent::inheriting(&door(&new), &listener);
+    assert_eq!(call(new.admin.unwrap(), "GET /healthcheck"), 503);
+    for _ in 0..50 {
+        assert_eq!(Client::to(&old).ask(&request("read", 9000)).status(), 200);
+    }
+    empty.change(line);
+    while call(new.admin.unwrap(), "GET /healthcheck") != 200 {}
+}
+
+#[test]
+fn a_descriptor_that_is_no_such_socket_ends_the_start_with_one_line() {
+    let discovery = Discovery::new(String::new());
+    let text = config(discovery.address, "", SETTINGS, 1024);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let other = text.replace("127.0.0.1:0", "127.0.0.1:9");
+    let same = text.replace("127.0.0.1:0", &listener.local_addr().unwrap().to_string());
+    for (text, fd, reason) in [
+        (&other, "7", "the address for clients is"),
+        (&same, "9", "9"),
+        (&same, "x", "no number"),
+        (&same, "0", "standard"),
+    ] {
+        let output = inheriting(&config_file(text), &listener).env("LB_LISTEN_FD", fd).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains("LB_LISTEN_FD") && said.contains(reason), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
+    let admin = text.replacen('{', r#"{"admin":"127.0.0.1:99","#, 1).replace("127.0.0.1:0", "127.0.0.1:99");
+    let output = command(&config_file(&admin)).output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("admin") && said.contains("the address for clients"), "{said}");
+}
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -8,7 +8,8 @@
 use crate::standins::http::{answer, Message};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -225,16 +226,30 @@
 pub fn command(config: &Path) -> Command {
     let mut command = Command::new(program());
     command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+    command.env_remove("LB_ADMIN").env_remove("LB_LISTEN_FD");
     command.stderr(Stdio::piped());
     command
 }
 
+/// What starts the agent with a listening socket as its descriptor 7.
+pub fn inheriting(config: &Path, listener: &TcpListener) -> Command {
+    let mut shell = Command::new("sh");
+    let script = format!("exec {} 7<&0 0</dev/null", program().display());
+    let socket = OwnedFd::from(listener.try_clone().expect("a socket"));
+    shell.args(["-c", &script]).stdin(Stdio::from(socket)).stderr(Stdio::piped());
+    shell.env("LB_CONFIG", config).env("LB_LISTEN_FD", "7");
+    shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_ADMIN");
+    shell
+}
+
 /// The agent's program; it is killed when this is dropped.
 pub struct Agent {
     /// Its process.
     pub child: Child,
     /// Where clients connect.
     pub address: SocketAddr,
+    /// Where operators call, if they do.
+    pub admin: Option<SocketAddr>,
     config: PathBuf,
 }
 
@@ -267,20 +282,29 @@
         Agent::watch(shell.spawn().expect("a program"), config)
     }
 
+    /// An agent that takes over a listening socket, as the platform starts it: descriptor 7, named in the environment.
+    pub fn inheriting(config: &str, listener: &TcpListener) -> Agent {
+        let config = config_file(config);
+        Agent::watch(inheriting(&config, listener).spawn().expect("a program"), config)
+    }
+
     fn watch(mut child: Child, config: PathBuf) -> Agent {
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
-        let mut line = String::new();
+        let (mut line, mut admin) = (String::new(), None);
         let address = loop {
             line.clear();
             let read = log.read_line(&mut line).expect("its log");
             assert!(read > 0, "the agent has ended at its start");
+            if let Some((_, address)) = line.split_once("operators call at ") {
+                admin = Some(address.trim().parse().expect("an address"));
+            }
             if let Some((_, address)) = line.split_once("listening on ") {
                 break address.trim().parse().expect("an address");
             }
         };
         // The log is read to its end, or a full pipe would stop the agent.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Agent { child, address, config }
+        Agent { child, address, admin, config }
     }
 
     /// An agent that knows these backends from the start, and a discovery that lists the same.
@@ -335,9 +359,14 @@
 }
 
 impl Client {
-    /// Connects.
+    /// Connects where clients do.
     pub fn to(agent: &Agent) -> Client {
-        let stream = TcpStream::connect(agent.address).expect("an agent that listens");
+        Client::at(agent.address)
+    }
+
+    /// Connects.
+    pub fn at(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("an agent that listens");
         stream.set_read_timeout(Some(BOUND)).expect("a socket");
         let input = BufReader::new(stream.try_clone().expect("a socket"));
         Client { stream, input }
@@ -367,6 +396,17 @@
         Some(message)
     }
 
+    /// Reads to the end of the connection; true if it came as an end or a reset, and not as the test's own time-out.
+    pub fn ends(&mut self) -> bool {
+        loop {
+            match self.input.read(&mut [0; 4096]) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(e) => return e.kind() != std::io::ErrorKind::WouldBlock,
+            }
+        }
+    }
+
     /// Writes a request and reads its answer.
     pub fn ask(&mut self, text: &str) -> Message {
         self.write(text);
