--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -7,16 +7,17 @@
 use crate::requests::{Answer, Arrival, Departure, Requests};
 use crate::tally::{Count, Tally};
 use crate::timers::Timers;
-use crate::upstream::backend::{Backends, Call, Ended, Progress};
+use crate::upstream::backend::{Backends, Call, Ended, Owner, Progress, Served, Stage};
 use crate::upstream::pool::{Place, Pool};
 use hyper::header::HeaderValue;
 use ryelead::*;
 use std::cell::RefCell;
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
 /// word the final answer, and that can still arrive.
@@ -157,6 +158,7 @@
             cost_hint: arrival.cost_hint,
             repeat: arrival.repeat,
             time_left: Span(left.as_micros() as u64),
+            coming: false,
         }));
         Some((id, answer))
     }
@@ -179,7 +181,9 @@
             request: id,
             attempt: AttemptNo(attempt),
             outcome: ended.outcome,
-            elapsed: Span(sent.elapsed().as_micros() as u64),
+            elapsed: Span(
+                ended.began.unwrap_or_else(Instant::now).saturating_duration_since(sent).as_micros() as u64,
+            ),
             report: ended.report,
             closed,
         });
@@ -238,7 +242,8 @@
         tokio::task::spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let ended = driver.attempt(place, &call, until, cancelled).await;
+                    let owner = Sending { driver: &driver, id, attempt, server };
+                    let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
                     driver.leave(server);
                     ended
                 }
@@ -253,18 +258,21 @@
         place: Place,
         call: &Call,
         until: Instant,
+        owner: &Sending<'_>,
         cancelled: oneshot::Receiver<()>,
     ) -> Ended {
         let progress = Progress::default();
-        let exchange = self.0.backends.attempt(place, call, until, &progress, || self.may_send(place.server));
-        tokio::select! {
-            ended = timeout_at(until, exchange) => match ended {
-                Ok(ended) => ended,
-                Err(_) if progress.is_sent() => Outcome::TimedOut.into(),
-                // The time was used up by waiting for a connection.
-                Err(_) => Outcome::NotSent.into(),
-            },
-            Ok(()) = cancelled => Outcome::Cancelled.into(),
+        let mut exchange = pin!(self.0.backends.attempt(place, call, until, &progress, owner));
+        let given_up = tokio::select! {
+            ended = exchange.as_mut() => return ended,
+            () = sleep_until(until) => Outcome::TimedOut,
+            Ok(()) = cancelled => Outcome::Cancelled,
+        };
+        match (progress.stage(), given_up) {
+            (Stage::Passing, _) => exchange.await,
+            // The time was used up by waiting for a connection.
+            (Stage::Ahead, Outcome::TimedOut) => Outcome::NotSent.into(),
+            (Stage::Ahead | Stage::Sent, outcome) => outcome.into(),
         }
     }
 
@@ -316,6 +324,29 @@
     }
 }
 
+/// An attempt that is out, as the backends' side asks about it.
+struct Sending<'a> {
+    driver: &'a Driver,
+    id: RequestId,
+    attempt: u32,
+    server: ServerId,
+}
+
+impl Owner for Sending<'_> {
+    fn may_send(&self) -> bool {
+        self.driver.may_send(self.server)
+    }
+
+    fn begin(&self, served: Served) -> bool {
+        let first = self.driver.0.core.borrow_mut().requests.begin(self.id, served);
+        if first {
+            let attempt = AttemptNo(self.attempt);
+            self.driver.tell(Event::FirstByte { request: self.id, attempt });
+        }
+        first
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -3,8 +3,10 @@
 use super::seats::Seat;
 use crate::budget::Budget;
 use crate::requests::Arrival;
-use crate::upstream::backend::{Call, BODY_MOST};
-use http_body_util::{BodyExt, Limited};
+use crate::upstream::backend::Call;
+use crate::upstream::passing::SHORT_MOST as BODY_MOST;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
@@ -15,8 +17,10 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// A client that has sent the head of a request must have sent the rest within this.
-const BODY_WAIT: Duration = Duration::from_millis(1500);
+/// A body comes at no less than so many bytes a second, a little under half of what the slowest clients send, once this
+/// long has passed.
+const BODY_PACE: f64 = 28_000.0;
+const BODY_WAIT: Duration = Duration::from_millis(2500);
 /// What a client goes on sending after it was turned away is read and thrown away within these bounds: a close with
 /// bytes unread would take the answer back.
 const DISCARD_MOST: usize = 256 * 1024;
@@ -91,14 +95,15 @@
             discard(body);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"));
         };
-        let body = match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+        let (mut body, mut pace, mut kept) = (body, Pace::default(), BytesMut::new());
+        while let Some(data) = pace.next(&mut body).await? {
+            if kept.len() + data.len() > BODY_MOST {
+                discard(body);
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
             }
-            Ok(Err(_)) => return Err(bad("the body can't be read")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        };
+            kept.extend_from_slice(&data);
+        }
+        let body = kept.freeze();
         let bytes = stated.map(|body| head_bytes + body);
         check_end(seat, bytes)?;
         // The client's time runs from the last byte of its request, which has just come.
@@ -165,6 +170,37 @@
     }
 }
 
+/// How a body comes: the time that was spent waiting for its client, and what it sent in that.
+#[derive(Default)]
+struct Pace {
+    waited: Duration,
+    bytes: u64,
+}
+
+impl Pace {
+    /// The next piece of a body, `None` at its end.
+    async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+        loop {
+            let most = BODY_WAIT + Duration::from_secs_f64(self.bytes as f64 / BODY_PACE);
+            let asked = Instant::now();
+            let frame = timeout(most.saturating_sub(self.waited), body.frame()).await;
+            self.waited += asked.elapsed();
+            match frame {
+                Ok(None) => return Ok(None),
+                // Trailers say nothing to backends of this protocol.
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.bytes += data.len() as u64;
+                        return Ok(Some(data));
+                    }
+                }
+                Ok(Some(Err(_))) => return Err(bad("the body can't be read")),
+                Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+            }
+        }
+    }
+}
+
 /// Reads on for a while what nobody wants.
 fn discard(mut body: Incoming) {
     if body.is_end_stream() {
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -8,16 +8,18 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A new connection must have sent its first request whole within this.
+/// A new connection must have begun its first request within this.
 const FIRST_WAIT: Duration = Duration::from_secs(2);
-/// And a later request must be whole this long after its first byte.
-const READ_WAIT: Duration = Duration::from_millis(1500);
+/// A head must be whole this long after its first byte; slow clients take 2 s. How long a body may take is for those who
+/// read it.
+const HEAD_WAIT: Duration = Duration::from_millis(2600);
 /// An idle connection that has carried a request may stay this long.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 /// Where there are many, only this long.
 const CROWD_WAIT: Duration = Duration::from_secs(2);
-/// A client that takes nothing of its answer for this long gets no more of it.
-const STUCK_WAIT: Duration = Duration::from_secs(2);
+/// A client that takes nothing of its answer for this long gets no more of it. One that reads 64 kB a second makes room
+/// in steps of up to 2 s, by the buffers of the two sockets.
+const STUCK_WAIT: Duration = Duration::from_secs(5);
 /// How long a connection that has been turned away may take to end.
 const LEAVE_WAIT: Duration = Duration::from_millis(600);
 /// A connection that has said nothing, or only half of a request, for this long makes room before any that has
@@ -30,8 +32,10 @@
 enum Phase {
     /// Nothing of a request has come.
     Waiting,
-    /// A request has begun to come.
+    /// The head of a request has begun to come.
     Reading,
+    /// The head is whole, and the body comes.
+    Taking,
     /// A request is whole and owed its answer.
     Busy,
     /// It has been turned away.
@@ -72,9 +76,9 @@
         self.used.get()
     }
 
-    /// It owes an answer.
+    /// It owes an answer, or will when the body has come.
     pub fn is_busy(&self) -> bool {
-        self.phase.get() == Phase::Busy
+        matches!(self.phase.get(), Phase::Taking | Phase::Busy)
     }
 
     fn enter(&self, phase: Phase) {
@@ -85,9 +89,7 @@
     /// The head of a request has come.
     pub fn begin(&self) {
         self.reused.set(self.used.replace(true));
-        if self.phase.get() != Phase::Reading {
-            self.enter(Phase::Reading);
-        }
+        self.enter(Phase::Taking);
     }
 
     /// The request is whole.
@@ -119,11 +121,8 @@
     fn overdue(&self, now: Instant) -> Option<End> {
         let received = self.view.received();
         if self.phase.get() == Phase::Waiting && received > self.mark.get() {
-            // A new connection has its time for the whole request from its start.
             self.phase.set(Phase::Reading);
-            if self.used.get() {
-                self.since.set(now);
-            }
+            self.since.set(now);
         }
         let age = now.saturating_duration_since(self.since.get());
         let stuck =
@@ -132,9 +131,9 @@
             _ if stuck => Some(End::AtOnce),
             Phase::Waiting if self.used.get() => (age > IDLE_WAIT).then_some(End::Gently),
             Phase::Waiting => (age > FIRST_WAIT).then_some(End::AtOnce),
-            Phase::Reading => (age > READ_WAIT).then_some(End::AtOnce),
+            Phase::Reading => (age > HEAD_WAIT).then_some(End::AtOnce),
             Phase::Leaving => (age > LEAVE_WAIT).then_some(End::AtOnce),
-            Phase::Busy => None,
+            Phase::Taking | Phase::Busy => None,
         }
     }
 
@@ -149,7 +148,7 @@
             Phase::Leaving => (age > READING_FAIR).then_some(0),
             Phase::Waiting if !self.used.get() && !heard => (age > SILENT_FAIR).then_some(0),
             Phase::Waiting if self.used.get() && !heard => Some(2),
-            Phase::Waiting | Phase::Reading => (age > READING_FAIR).then_some(1),
+            Phase::Waiting | Phase::Reading | Phase::Taking => (age > READING_FAIR).then_some(1),
         };
         rank.map(|rank| (rank, since))
     }
@@ -247,14 +246,14 @@
     /// Ends now all that owe no answer, but for those whose request has come unread.
     pub fn end_all_at_once(&self) {
         for seat in self.seats.borrow().values() {
-            let owes = seat.phase.get() == Phase::Busy || seat.view.has_unread();
+            let owes = seat.is_busy() || seat.view.has_unread();
             seat.tell(if owes { End::Gently } else { End::AtOnce });
         }
     }
 
     /// How many owe an answer, or have begun to read a request and so may owe one soon.
     pub fn owed(&self) -> usize {
-        let owes = |seat: &&Rc<Seat>| matches!(seat.phase.get(), Phase::Busy | Phase::Reading);
+        let owes = |seat: &&Rc<Seat>| seat.is_busy() || seat.phase.get() == Phase::Reading;
         self.seats.borrow().values().filter(owes).count()
     }
 }
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -1,6 +1,7 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
 use super::intake::{check_end, Catalogue, Taken};
+use super::reply::Reply;
 use super::seats::{End, Seat, Seats};
 use crate::clients::Clients;
 use crate::driver::Driver;
@@ -8,8 +9,6 @@
 use crate::log::log;
 use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -125,7 +124,8 @@
                 if server.clients.ends_connections() || server.open.count() > server.crowd.1 {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                seat.answer(answer.headers().contains_key(CONNECTION));
+                let leaves = answer.headers().contains_key(CONNECTION);
+                answer.body_mut().begin(&seat, leaves);
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -163,7 +163,7 @@
     }
 
     /// One request, one answer.
-    async fn handle(&self, seat: &Seat, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, seat: &Seat, request: Request<Incoming>) -> Response<Reply> {
         if request.uri().path() == "/health/ready" && request.method() == Method::GET {
             let ready = self.clients.is_ready();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
@@ -180,7 +180,7 @@
         answer.unwrap_or_else(|(status, why)| turned_away(status, why))
     }
 
-    async fn pass_on(&self, taken: Taken) -> Response<Full<Bytes>> {
+    async fn pass_on(&self, taken: Taken) -> Response<Reply> {
         let deadline = taken.arrival.deadline;
         let Some((id, answer)) = self.driver.submit(taken.call, taken.call_id, taken.arrival) else {
             return turned_away(StatusCode::CONFLICT, "X-Call-Id is in use");
@@ -191,7 +191,7 @@
         drop(pending);
         match answer {
             Ok(Ok(Answer::Served(served))) => {
-                let mut answer = Response::new(Full::new(served.body));
+                let mut answer = Response::new(Reply::from(served.body));
                 if let Some(kind) = served.content_type {
                     answer.headers_mut().insert(CONTENT_TYPE, kind);
                 }
@@ -217,14 +217,14 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
+    let mut answer = Response::new(Reply::text(text));
     *answer.status_mut() = status;
     answer
 }
 
 /// A refusal, with the time to come back after.
-fn refused(retry_after: Option<Span>) -> Response<Full<Bytes>> {
+fn refused(retry_after: Option<Span>) -> Response<Reply> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     if let Some(Ok(value)) = retry_after.map(|s| HeaderValue::try_from(format!("{:.3}", s.ms() / 1e3))) {
         answer.headers_mut().insert(RETRY_AFTER, value);
@@ -233,7 +233,7 @@
 }
 
 /// An answer to what can't be used; whatever else may come on its connection is not waited for.
-fn turned_away(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
+fn turned_away(status: StatusCode, why: &'static str) -> Response<Reply> {
     let mut answer = match status {
         StatusCode::SERVICE_UNAVAILABLE => refused(Some(BODY_RETRY)),
         status => plain(status, why),
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -120,6 +120,12 @@
         Some(open.reply.is_none())
     }
 
+    /// The answer to a request has begun to come; false if it has had one.
+    pub fn begin(&mut self, id: RequestId, served: Served) -> bool {
+        let reply = self.open.get_mut(&id).and_then(|open| open.reply.take());
+        reply.is_some_and(|reply| reply.send(Answer::Served(served)).is_ok())
+    }
+
     /// Gives the final answer, unless there has been one.
     pub fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(reply) = self.open.get_mut(&id).and_then(|o| o.reply.take()) {
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -1,10 +1,12 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
+use super::passing::{Passed, Passing, BODY_MOST, SHORT_MOST};
 use super::pool::{Lease, Place, Pool};
 use crate::budget::{Budget, Portion};
 use crate::wire::View;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::Outcome;
@@ -17,13 +19,16 @@
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// The largest body that either side may send.
-pub const BODY_MOST: usize = 64 * 1024;
-/// The most that is read for one answer: a body in small chunks, its head, and what may come ahead of it.
-const ANSWER_MOST: u64 = 4 * BODY_MOST as u64;
-/// An answer that has begun and of which nothing more has come for this long is spoilt: answers are short and
-/// written whole, and whoever waits on would wait to the end of the attempt's time.
+/// The most that is read for a short answer: a body in small chunks, its head, and what may come ahead of it.
+const ANSWER_MOST: u64 = 4 * SHORT_MOST as u64;
+/// And for a long one; its body in chunks of a few bytes may come to several times its length.
+const LONG_MOST: u64 = 8 * BODY_MOST;
+/// A short answer that has begun and of which nothing more has come for this long is spoilt: whoever waits on would wait
+/// to the end of the attempt's time.
 const STALL: Duration = Duration::from_millis(100);
+/// An answer that does not say how long it is and has not ended by then is passed on as it comes; one that comes no
+/// further has stalled before.
+const SHORT_WAIT: Duration = Duration::from_millis(150);
 /// A probe that has not been answered by then has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// A figure of a load report beyond this is no figure.
@@ -54,11 +59,17 @@
 /// A backend's 200, to be passed on unchanged.
 pub struct Served {
     /// The body.
-    pub body: Bytes,
+    pub body: ServedBody,
     /// What it is.
     pub content_type: Option<HeaderValue>,
-    /// The memory that the body holds.
-    pub _portion: Portion,
+}
+
+/// The body of a backend's answer.
+pub enum ServedBody {
+    /// All of it, and the memory that it holds.
+    Whole(Bytes, Portion),
+    /// As it comes.
+    Passing(Passing),
 }
 
 /// How an attempt or a probe ended.
@@ -67,35 +78,68 @@
     pub outcome: Outcome,
     /// The load report, if a readable one came.
     pub report: Option<Vec<f64>>,
-    /// The answer, if the outcome is a success.
+    /// The answer, if the outcome is a success and it has not been passed on already.
     pub served: Option<Served>,
+    /// When the answer began, if it was passed on as it came.
+    pub began: Option<Instant>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, served: None }
+        Ended { outcome, report: None, served: None, began: None }
     }
 }
 
-/// Why there is no answer.
-enum Spoilt {
+/// Why there is no answer, or not all of it.
+#[derive(Debug, thiserror::Error)]
+pub enum Spoilt {
     /// The connection ended, or what came could not be read.
+    #[error("the connection to the server has ended")]
     Connection,
     /// It is none that may be believed.
+    #[error("the server's answer is not whole, or none at all")]
     Answer,
 }
 
+/// What has come back for an attempt.
+enum Reply {
+    /// All of it.
+    Whole(Ended),
+    /// The head of a long answer, what has come of it, and what is still to come.
+    Long { content_type: Option<HeaderValue>, report: Option<Vec<f64>>, first: Bytes, rest: Incoming },
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing of it can have been written.
+    #[default]
+    Ahead,
+    /// A byte of it may have been written.
+    Sent,
+    /// Its answer is being passed on: no time-out and no cancel of the attempt counts any more.
+    Passing,
+}
+
 /// Shows how far an attempt has come to whoever stops waiting for it.
 #[derive(Default)]
-pub struct Progress(Cell<bool>);
+pub struct Progress(Cell<Stage>);
 
 impl Progress {
-    /// True once a byte of it may have been written.
-    pub fn is_sent(&self) -> bool {
+    /// How far it has come.
+    pub fn stage(&self) -> Stage {
         self.0.get()
     }
 }
 
+/// What an attempt asks of those who sent it.
+pub trait Owner {
+    /// Whether the first byte may go now: a server may have been told to drain while the connection was on its way.
+    fn may_send(&self) -> bool;
+    /// A long answer has begun; false if its request has had its answer.
+    fn begin(&self, served: Served) -> bool;
+}
+
 /// Attempts and probes on the connections to all backends.
 pub struct Backends {
     pool: Rc<Pool>,
@@ -115,15 +159,14 @@
         &self.pool
     }
 
-    /// Sends one attempt. `may_send` is asked once more when the first byte could go: a server may have been
-    /// told to drain while the connection was on its way.
+    /// Sends one attempt; comes back once its answer is whole, passed on whole, or will not come.
     pub async fn attempt(
         &self,
         place: Place,
         call: &Call,
         until: Instant,
         progress: &Progress,
-        may_send: impl Fn() -> bool,
+        owner: &impl Owner,
     ) -> Ended {
         let least = call.least_bytes();
         loop {
@@ -131,11 +174,11 @@
                 Ok(lease) => lease,
                 Err(outcome) => return outcome.into(),
             };
-            if !may_send() {
+            if !owner.may_send() {
                 self.pool.give_back(place, lease);
                 return Outcome::NotSent.into();
             }
-            progress.0.set(true);
+            progress.0.set(Stage::Sent);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
             let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
@@ -143,22 +186,43 @@
             self.pool.note(&lease, answer.is_err() && view.received() == received);
             match answer {
                 // An answer to what was not all there yet is none to this request.
-                Ok(ended) if written >= least => {
+                Ok(_) if written < least => return Outcome::ConnectionReset.into(),
+                Ok(Reply::Whole(ended)) => {
                     self.pool.give_back(place, lease);
                     return ended;
                 }
+                Ok(Reply::Long { content_type, report, first, rest }) => {
+                    progress.0.set(Stage::Passing);
+                    let began = Some(Instant::now());
+                    view.allow(LONG_MOST);
+                    let (passing, passed) = Passing::new(first, rest, lease);
+                    let body = ServedBody::Passing(passing);
+                    let outcome = if !owner.begin(Served { body, content_type }) {
+                        Outcome::Cancelled
+                    } else {
+                        match passed.await {
+                            Ok(Passed::Whole(lease)) => {
+                                self.pool.give_back(place, lease);
+                                Outcome::Success
+                            }
+                            Ok(Passed::Broken) => Outcome::ConnectionReset,
+                            Err(_) => Outcome::Cancelled,
+                        }
+                    };
+                    return Ended { outcome, report, served: None, began };
+                }
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
-                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => progress.0.set(false),
+                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => progress.0.set(Stage::Ahead),
                 Err(Spoilt::Connection) if written < least => return Outcome::ConnectFailed.into(),
-                Ok(_) | Err(_) => return Outcome::ConnectionReset.into(),
+                Err(_) => return Outcome::ConnectionReset.into(),
             }
         }
     }
 
     /// One request out and its answer in.
-    async fn exchange(&self, lease: &mut Lease, mut request: Request<Full<Bytes>>) -> Result<Ended, Spoilt> {
+    async fn exchange(&self, lease: &mut Lease, mut request: Request<Full<Bytes>>) -> Result<Reply, Spoilt> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(Spoilt::Connection)?;
         // Answers 1xx come ahead of the one that counts, which may take its time after them.
@@ -178,11 +242,10 @@
         }
     }
 
-    async fn read(&self, answer: Response<hyper::body::Incoming>) -> Result<Ended, Spoilt> {
-        let (head, body) = answer.into_parts();
-        let length = stated_length(head.status, &head.headers).ok_or(Spoilt::Answer)?;
-        let portion = self.bodies.take(length).ok_or(Spoilt::Answer)?;
-        let body = Limited::new(body, length).collect().await.map_err(|_| Spoilt::Answer)?.to_bytes();
+    /// Reads an answer, or as much of it as shows that it is long.
+    async fn read(&self, answer: Response<Incoming>) -> Result<Reply, Spoilt> {
+        let (head, mut body) = answer.into_parts();
+        let framing = framing(head.status, &head.headers).ok_or(Spoilt::Answer)?;
         let report = head.headers.get("x-load-report").and_then(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get("x-rejected").is_some_and(|v| v == "1");
         let outcome = match head.status {
@@ -191,9 +254,38 @@
             _ => Outcome::ServerError,
         };
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
-        let served =
-            (outcome == Outcome::Success).then_some(Served { body, content_type, _portion: portion });
-        Ok(Ended { outcome, report, served })
+        let is_long = framing.is_some_and(|length| length > SHORT_MOST as u64);
+        if is_long && outcome == Outcome::Success {
+            return Ok(Reply::Long { content_type, report, first: Bytes::new(), rest: body });
+        }
+        let short = framing.map_or(SHORT_MOST, |length| SHORT_MOST.min(length as usize));
+        let portion = self.bodies.take(short).ok_or(Spoilt::Answer)?;
+        let mut first = BytesMut::new();
+        let whole = async {
+            while let Some(frame) = body.frame().await {
+                let Ok(data) = frame.map_err(|_| Spoilt::Answer)?.into_data() else { continue };
+                first.extend_from_slice(&data);
+                if first.len() > short {
+                    return Ok(false);
+                }
+            }
+            Ok(true)
+        };
+        let whole = match framing {
+            Some(_) => whole.await?,
+            None => timeout(SHORT_WAIT, whole).await.unwrap_or(Ok(false))?,
+        };
+        let first = first.freeze();
+        match (whole, outcome) {
+            (true, _) => {
+                let served = (outcome == Outcome::Success)
+                    .then_some(Served { body: ServedBody::Whole(first, portion), content_type });
+                Ok(Reply::Whole(Ended { outcome, report, served, began: None }))
+            }
+            (false, Outcome::Success) => Ok(Reply::Long { content_type, report, first, rest: body }),
+            // What a refusal or an error has to say at such length is not waited for.
+            (false, _) => Err(Spoilt::Answer),
+        }
     }
 
     /// Asks a server how it is.
@@ -203,12 +295,10 @@
         let call = Call { method: Method::GET, uri, headers, body, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         let progress = Progress::default();
-        let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, &progress, || true)).await
-        else {
-            return Outcome::TimedOut.into();
-        };
-        if let Some(served) = ended.served.take() {
-            ended.report = ended.report.or_else(|| self.report(&served.body));
+        let attempt = self.attempt(place, &call, until, &progress, &Probing);
+        let Ok(mut ended) = timeout_at(until, attempt).await else { return Outcome::TimedOut.into() };
+        if let Some(Served { body: ServedBody::Whole(text, _), .. }) = ended.served.take() {
+            ended.report = ended.report.or_else(|| self.report(&text));
         }
         ended
     }
@@ -226,15 +316,28 @@
     }
 }
 
+/// A probe goes whenever the module says so, and nobody waits for a long answer to it.
+struct Probing;
+
+impl Owner for Probing {
+    fn may_send(&self) -> bool {
+        true
+    }
+
+    fn begin(&self, _: Served) -> bool {
+        false
+    }
+}
+
 fn pair(text: &str) -> Option<(&str, f64)> {
     let (name, value) = text.split_once('=')?;
     let value: f64 = value.trim().parse().ok()?;
     (0.0..=FIGURE_MOST).contains(&value).then_some((name.trim(), value))
 }
 
-/// The most that the body of an answer may hold by its head; `None` if that does not say where the answer ends, says
-/// it twice, or says more than any answer may hold: what is read behind such a head may be anything.
-fn stated_length(status: StatusCode, headers: &HeaderMap) -> Option<usize> {
+/// How long the body of an answer is by its head, `Some(None)` if its end will tell; `None` if the head says it twice, in
+/// a way that nobody can read, or says more than any answer may hold: what is read behind such a head may be anything.
+fn framing(status: StatusCode, headers: &HeaderMap) -> Option<Option<u64>> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     if status == StatusCode::SWITCHING_PROTOCOLS {
@@ -242,11 +345,13 @@
     }
     match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
         (Some(length), None, None, None) => {
-            length.to_str().ok()?.parse().ok().filter(|length| *length <= BODY_MOST)
+            length.to_str().ok()?.parse().ok().filter(|length| *length <= BODY_MOST).map(Some)
         }
         (None, None, Some(coding), None) => {
-            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(BODY_MOST)
+            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(None)
         }
+        // It lasts to the end of the connection.
+        (None, None, None, None) => Some(None),
         _ => None,
     }
 }
@@ -287,6 +392,19 @@
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
+    /// Says whether it may be sent, and takes no long answer.
+    struct Asked(bool);
+
+    impl Owner for Asked {
+        fn may_send(&self) -> bool {
+            self.0
+        }
+
+        fn begin(&self, _: Served) -> bool {
+            false
+        }
+    }
+
     fn of(pool: Rc<Pool>, fields: &[&str]) -> Rc<Backends> {
         let fields: Vec<String> = fields.iter().map(|f| f.to_string()).collect();
         let has_reports = !fields.is_empty();
@@ -315,7 +433,7 @@
         let place = Place { server: ServerId(0), address, life: 0 };
         let until = Instant::now() + Duration::from_secs(60);
         let progress = Progress::default();
-        backends.attempt(place, &post(body), until, &progress, || may_send).await.outcome
+        backends.attempt(place, &post(body), until, &progress, &Asked(may_send)).await.outcome
     }
 
     /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -17,6 +17,10 @@
 /// Read at a time; a message is seldom longer.
 const CHUNK: usize = 8 * 1024;
 
+/// What the kernel holds of an answer that its client has not taken. Clients are on the same machine and lose nothing by
+/// it; with a buffer that grows to megabytes a slow reader would look for many seconds like one that takes nothing.
+const SEND_BUFFER: usize = 64 * 1024;
+
 thread_local! {
     /// Where bytes stand between the kernel and hyper, for one read at a time.
     static BETWEEN: RefCell<[u8; CHUNK]> = const { RefCell::new([0; CHUNK]) };
@@ -126,6 +130,11 @@
         self.meter.allowance.set(Some(allowance));
     }
 
+    /// From now on no more than `allowance` bytes are read.
+    pub fn allow(&self, allowance: u64) {
+        self.meter.allowance.set(Some(allowance));
+    }
+
     /// True if an idle connection still is one: nothing has come on it, no close and no error either. Asked of the
     /// kernel, since the runtime may not have looked at the socket for a while.
     pub fn is_quiet(&self) -> bool {
@@ -171,6 +180,8 @@
 
     /// Wraps a client's stream, and looks at the heads of its requests.
     pub fn of_client(stream: TcpStream, ticket: Ticket) -> (Wire, View) {
+        // Refused, the kernel's own size stands.
+        let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         Wire::with(stream, ticket, Meter { head: Some(RefCell::default()), ..Meter::default() })
     }
 
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod limits;
 mod lists;
+mod long;
 mod operators;
 mod outcomes;
 mod reload;
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -190,6 +190,7 @@
                     cost_hint: hint.map(Span::from_ms),
                     repeat: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
+                    coming: false,
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
--- a/src/api.rs
+++ b/src/api.rs
@@ -497,12 +497,23 @@
     pub repeat: bool,
     /// How long the client still waits for this try.
     pub time_left: Span,
+    /// Its body is still coming, and `time_left` runs from [`Event::Whole`] on. It may be sent before that.
+    pub coming: bool,
 }
 
 impl Request {
     /// A first try without tenant, key or hint.
     pub fn new(id: RequestId, class: ClassId, time_left: Span) -> Self {
-        Request { id, class, tenant: None, key: None, cost_hint: None, repeat: false, time_left }
+        Request {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            time_left,
+            coming: false,
+        }
     }
 }
 
@@ -542,7 +553,21 @@
 pub enum Event {
     /// A request has come in.
     Request(Request),
-    /// A stream has begun; the request is bound to this attempt.
+    /// What is not kept of a request has been sent with this attempt; the request is bound to it, since no other attempt
+    /// can have it whole.
+    Bound {
+        /// The request.
+        request: RequestId,
+        /// The attempt that it is bound to.
+        attempt: AttemptNo,
+    },
+    /// All of a request has come that was [`Request::coming`]: its time runs from now.
+    Whole {
+        /// The request.
+        request: RequestId,
+    },
+    /// A stream, or an answer that is passed on as it comes, has begun; the request is bound to this attempt, whose outcome
+    /// tells how it went on.
     FirstByte {
         /// The request.
         request: RequestId,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 //! fuller the more it is worth. Where few send, their own counts carry it; where many do, the reports.
 
 use crate::api::*;
-use crate::told::{Hearsay, Told, Word};
+use crate::told::{lean, Hearsay, Told, Word};
 use std::collections::BTreeMap;
 
 /// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
@@ -34,8 +34,6 @@
 const PROBE_FAILED: f64 = 8.0;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
-/// Weight of a new answer in its class's pace; a slower one counts a quarter.
-const CLASS_GAIN: f64 = 0.04;
 /// Failures in a row that make a server suspect (a connection that never came up is as many); and how seldom
 /// as many come by chance from one that fails as often as the others.
 const FAILURES: u32 = 2;
@@ -122,25 +120,13 @@
     Cell(CellId),
 }
 
-/// What may still be done with a request.
-struct Lawful {
-    send: Reach,
-    refuse: bool,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
-}
-
 struct Attempt {
     server: usize,
     zone: ZoneId,
     cell: CellId,
     sent: Time,
-    fate: Fate,
+    /// How it ended, unless it is out.
+    ended: Option<Outcome>,
 }
 
 /// An accepted request; it goes when it has its final answer.
@@ -173,6 +159,9 @@
     until: Time,
 }
 
+/// An attempt: of which request, and which one of it.
+type Sent = (RequestId, u32);
+
 /// An attempt that has not ended; it outlives its request if that ends first.
 struct Flight {
     server: usize,
@@ -182,12 +171,14 @@
     trial: Option<usize>,
     /// Its answer is held for lost. A place kept for it to a deadline far off would shut its server.
     stuck: bool,
+    /// Its answer has begun to come.
+    begun: bool,
 }
 
 struct Suspicion {
+    /// Never, while one is out.
     next_trial: Time,
     pause: Span,
-    on_trial: bool,
 }
 
 /// What a server's answers say of it, as a whole or for one class.
@@ -256,7 +247,7 @@
     /// Those that the list says are serving.
     serving: Vec<usize>,
     live: BTreeMap<RequestId, Live>,
-    flights: BTreeMap<(RequestId, u32), Flight>,
+    flights: BTreeMap<Sent, Flight>,
     /// Newest first within each rank.
     held: Vec<RequestId>,
     looking: Vec<Look>,
@@ -286,9 +277,6 @@
     /// A balancer for these settings; equal seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let classes = settings.classes.len();
-        let class_pace = vec![0.2; classes];
-        let usual_wait = vec![(Span::ZERO, 0); classes];
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
@@ -302,8 +290,8 @@
             memory: Vec::new(),
             circle: Vec::new(),
             warm: BTreeMap::new(),
-            class_pace,
-            usual_wait,
+            class_pace: vec![0.2; settings.classes.len()],
+            usual_wait: vec![(Span::ZERO, 0); settings.classes.len()],
             tenant_asked: vec![0.0; settings.tenants.len()],
             counted_at: Time(0),
             retries: RETRY_BURST,
@@ -329,27 +317,17 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Request(request) => self.arrive(now, request, out),
-            Event::FirstByte { request, attempt } => {
-                if let Some(live) = self.live.get_mut(&request) {
-                    live.bound = (attempt.0 as usize) < live.attempts.len();
-                }
-            }
-            Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
-                self.outcome(now, (request, attempt.0), (outcome, elapsed), report.as_deref(), closed, out);
-            }
+            Event::Bound { request, attempt } => self.bind(request, attempt),
+            Event::Whole { request } => self.whole(now, request),
+            Event::FirstByte { request, attempt } => self.begin(now, request, attempt, out),
+            Event::Outcome { .. } => self.outcome(now, event, out),
             Event::ClientGone { request } => {
                 self.live.remove(&request);
             }
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(LOOKED) => self.settle(now, |look| look.until <= now, out),
             Event::Timer(_) | Event::PeerMessage { .. } => {}
-            Event::Probed { server, outcome, elapsed, report } => {
-                let Some(&s) = self.index.get(&server) else { return };
-                if let Some(report) = report {
-                    self.read_report(now, s, &report);
-                }
-                self.probed(now, s, outcome != Outcome::Success, elapsed, out);
-            }
+            Event::Probed { .. } => self.probed(now, event, out),
             Event::List(update) => self.list(now, update, out),
         }
     }
@@ -426,17 +404,17 @@
             return;
         }
         self.held.insert(0, id);
-        // A tick that is due is never put off: requests held at each tick would starve it and lose requests.
+        // A tick that is due is never put off, or requests held at each would starve it.
         if self.tick_at > now + TICK_BUSY {
             self.set_tick(now, TICK_BUSY, out);
         }
     }
 
-    /// What the rules still allow; the whole of "no effect happens twice" is here.
-    fn lawful(&self, live: &Live, now: Time) -> Lawful {
+    /// Where it may go, and whether a refusal would be true; all of "no effect happens twice" is here.
+    fn lawful(&self, live: &Live, now: Time) -> (Reach, bool) {
         let class = &self.settings.classes[live.request.class.0];
-        let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
-        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        let out = live.attempts.iter().any(|a| a.ended.is_none());
+        let first = live.attempts.iter().find(|a| !a.ended.is_some_and(Outcome::never_ran));
         let full = live.attempts.len() >= self.settings.max_attempts as usize;
         let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
@@ -455,13 +433,12 @@
             (Some(_), Effect::AtMostOnce) => false,
             (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
         };
-        Lawful { send, refuse: refuse && !live.bound }
+        (send, refuse && !live.bound)
     }
 
     // ---- the pick -----------------------------------------------------------------------------------
 
-    /// Draws candidates for a request and sends it to the lightest, at once or after a look at them; false if
-    /// no server is open to it.
+    /// Sends a request to the lightest of drawn candidates, perhaps after a look; false if none is open.
     fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
         if !self.live.contains_key(&id) {
             return true;
@@ -552,15 +529,18 @@
         let part = ((self.worth(class) / most).powf(0.4) * over).clamp(1e-3, 1.0);
         let full = FULL / self.of_others(now) * (1.0 + FULL_LESS * part.ln());
         let stretch = full.max(0.0) * classes[class].aim.ms() / self.usual(class);
-        Ask { reach: self.lawful(live, now).send, class, stretch }
+        Ask { reach: self.lawful(live, now).0, class, stretch }
     }
 
     /// What a probe says of a server's load: its report or, without one, the time that it had to wait there.
-    fn probed(&mut self, now: Time, server: usize, failed: bool, elapsed: Span, out: &mut Vec<Action>) {
+    fn probed(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let Event::Probed { server, outcome, elapsed, report } = event else { return };
+        let Some(&server) = self.index.get(&server) else { return };
+        self.read_report(now, server, report);
         let usual = (0..self.settings.classes.len()).map(|c| self.usual(c)).fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[server];
         s.probed_at = None;
-        if failed {
+        if outcome != Outcome::Success {
             s.told.guess(now, PROBE_FAILED);
         } else if !s.told.is_fresh(now, Span(1)) {
             s.told.guess(now, elapsed.ms() / usual);
@@ -628,7 +608,7 @@
         lawful
             && s.listed.status == Status::Serving
             && f64::from(s.in_flight - s.stuck) < (s.limit * self.warmth(s, now)).max(1.0)
-            && s.doubt(ask.class).is_none_or(|q| !q.on_trial && now >= q.next_trial && self.trials >= 1.0)
+            && s.doubt(ask.class).is_none_or(|q| now >= q.next_trial && self.trials >= 1.0)
             && self.has_told_room(now, server, ask.stretch)
     }
 
@@ -698,15 +678,16 @@
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
         let Listed { zone, cell, .. } = s.listed;
-        live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
+        live.attempts.push(Attempt { server, zone, cell, sent: now, ended: None });
         s.in_flight += 1;
         self.hearsay.send(now);
         let trial = [WHOLE, class + 1].into_iter().find(|&r| s.records[r].suspicion.is_some());
         if let Some(q) = trial.and_then(|r| s.records[r].suspicion.as_mut()) {
-            q.on_trial = true;
+            q.next_trial = Time(u64::MAX);
             self.trials -= 1.0;
         }
-        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false });
+        self.flights
+            .insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false, begun: false });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
     }
 
@@ -744,28 +725,52 @@
 
     // ---- what follows an outcome --------------------------------------------------------------------
 
-    fn outcome(
-        &mut self,
-        now: Time,
-        key: (RequestId, u32),
-        (outcome, elapsed): (Outcome, Span),
-        report: Option<&Report>,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(flight) = self.flights.remove(&key) else { return };
-        self.servers[flight.server].in_flight -= 1;
+    /// What a request has sent or been given can't be taken back: no other attempt stands in for this one.
+    fn bind(&mut self, id: RequestId, attempt: AttemptNo) {
+        if let Some(live) = self.live.get_mut(&id) {
+            live.bound = (attempt.0 as usize) < live.attempts.len();
+        }
+    }
+
+    /// All of a request has come: its time runs from now, and so does that of its attempt.
+    fn whole(&mut self, now: Time, id: RequestId) {
+        let Some(live) = self.live.get_mut(&id).filter(|live| live.request.coming) else { return };
+        let late = (now + live.request.time_left).since(live.deadline);
+        live.request.coming = false;
+        (live.deadline, live.wanted_by) = (live.deadline + late, live.wanted_by + late);
+        self.flights.range_mut((id, 0)..=(id, u32::MAX)).for_each(|(_, flight)| flight.sent = now);
+    }
+
+    /// A long answer has begun: its server's work on it is done, and only the rest of it is out.
+    fn begin(&mut self, now: Time, id: RequestId, attempt: AttemptNo, out: &mut Vec<Action>) {
+        self.bind(id, attempt);
+        let Some(mut flight) = self.flights.remove(&(id, attempt.0)) else { return };
+        self.land(&flight);
+        if !std::mem::replace(&mut flight.begun, true) {
+            self.learn(now, &flight, Outcome::Success, now.since(flight.sent), out);
+        }
+        self.flights.insert((id, attempt.0), Flight { stuck: false, trial: None, ..flight });
+    }
+
+    /// An attempt holds no place at its server any more.
+    fn land(&mut self, flight: &Flight) {
+        self.servers[flight.server].in_flight -= u32::from(!flight.begun);
         self.servers[flight.server].stuck -= u32::from(flight.stuck);
-        if let Some(report) = report {
-            self.read_report(now, flight.server, report);
+    }
+
+    fn outcome(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let Event::Outcome { request: id, attempt, outcome, elapsed, report, closed } = event else { return };
+        let Some(flight) = self.flights.remove(&(id, attempt.0)) else { return };
+        self.land(&flight);
+        self.read_report(now, flight.server, report);
+        // Of an answer that has begun only a break is news.
+        if !flight.begun || outcome == Outcome::ConnectionReset {
+            self.learn(now, &flight, outcome, elapsed, out);
         }
-        self.learn(now, &flight, outcome, elapsed, out);
-        let id = key.0;
         if closed {
             self.live.remove(&id);
         } else if let Some(live) = self.live.get_mut(&id) {
-            let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-            live.attempts[key.1 as usize].fate = fate;
+            live.attempts[attempt.0 as usize].ended = Some(outcome);
             let cost = match outcome {
                 Outcome::ConnectFailed => RETRY_UNSENT,
                 Outcome::ConnectionReset | Outcome::ServerError => RETRY_BROKEN,
@@ -776,15 +781,14 @@
         self.pump(now, out);
     }
 
-    /// The request still owes its answer after an attempt has failed; another costs so much of what is
-    /// saved up.
+    /// A request still owes its answer after a failure; another attempt costs so much of what is saved up.
     fn follow_up(&mut self, now: Time, id: RequestId, cost: f64, out: &mut Vec<Action>) {
         let live = &self.live[&id];
-        if live.attempts.iter().any(|a| a.fate == Fate::Out) {
+        if live.attempts.iter().any(|a| a.ended.is_none()) {
             return;
         }
         // What was turned away pays too, or it would go round a fleet of full servers.
-        if self.lawful(live, now).send == Reach::Nowhere {
+        if self.lawful(live, now).0 == Reach::Nowhere {
             self.end(now, id, Reason::NoMoreAllowed, out);
         } else if self.hopeless(now, live) {
             self.end(now, id, Reason::FailedLate, out);
@@ -801,7 +805,7 @@
     /// The final answer from here: a refusal if that is true to the client, else a failure.
     fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
-        if self.lawful(&live, now).refuse {
+        if self.lawful(&live, now).1 {
             let usual = Span::from_ms(self.usual(live.request.class.0));
             let advice = if reason == Reason::NobodyOpen { usual.max(TRIAL_FIRST) } else { usual };
             let retry_after = self.settings.retry_after.then_some(advice.min(self.settings.max_retry_after));
@@ -877,7 +881,8 @@
             // An error of one class does not clear the machine, nor the other way round.
             let (failed, record) = (at_fault == Some(r), &mut s.records[r]);
             let more = if failed && outcome == Outcome::ConnectFailed { FAILURES } else { u32::from(failed) };
-            record.failures = if outcome == Outcome::Success { 0 } else { record.failures + more };
+            let whole = outcome == Outcome::Success && !flight.begun;
+            record.failures = if whole { 0 } else { record.failures + more };
             record.failing += FAILING_GAIN * (f64::from(u8::from(failed)) - record.failing);
         }
         if used > 0.0 {
@@ -897,7 +902,6 @@
                 s.records[on].failures = 0;
                 (s.pace, s.stretch) = (used, 1.0);
             } else if let Some(q) = &mut s.records[on].suspicion {
-                q.on_trial = false;
                 q.pause = (q.pause * 2.0).min(TRIAL_MOST);
                 q.next_trial = now + q.pause;
             }
@@ -910,8 +914,7 @@
         }
     }
 
-    /// Whether a server's failures in a row are more than chance would bring from the better of the others:
-    /// a cut that takes most of the fleet still leaves those.
+    /// Whether failures in a row are more than chance would bring from the better servers, left by a cut.
     fn is_unusual(&self, server: usize, r: usize) -> bool {
         let others = self.serving.iter().filter(|&&i| i != server);
         let mut others: Vec<f64> = others.map(|&i| self.servers[i].records[r].failing).collect();
@@ -930,7 +933,7 @@
         if s.records[r].suspicion.is_some() || (gone + 1) as f64 > SUSPECT_SHARE * self.serving.len() as f64 {
             return;
         }
-        let suspicion = Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST, on_trial: false };
+        let suspicion = Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST };
         s.records[r].suspicion = Some(suspicion);
         out.push(Action::Log { text: format!("server {} {why}: suspect", s.listed.server.0) });
         if r == WHOLE {
@@ -939,8 +942,9 @@
         }
     }
 
-    fn read_report(&mut self, now: Time, server: usize, report: &Report) {
-        let word = Word::read(&self.settings.report_fields, report);
+    fn read_report(&mut self, now: Time, server: usize, report: Option<Vec<f64>>) {
+        let Some(report) = report else { return };
+        let word = Word::read(&self.settings.report_fields, &report);
         let usual = self.usual(0);
         let s = &mut self.servers[server];
         self.hearsay.hear(now, &mut s.told, &word, f64::from(s.in_flight), usual);
@@ -1004,12 +1008,13 @@
         self.pump(now, out);
     }
 
-    /// Drops the servers that have left for good and that nothing is out to. Under ever new names they would
-    /// fill the memory.
+    /// Drops the servers that have left for good and that nothing is out to: new names would fill the memory.
     fn forget(&mut self, now: Time) {
         let left = |s: &Server| s.gone_at.is_some_and(|at| now.since(at) > self.settings.drain_grace);
-        let over = |s: &Server| left(s) && s.in_flight == 0 && s.probed_at.is_none();
-        let dropped: Vec<usize> = self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
+        let out =
+            |i: usize| self.servers[i].probed_at.is_some() || self.flights.values().any(|f| f.server == i);
+        let over = |&i: &usize| left(&self.servers[i]) && !out(i);
+        let dropped: Vec<usize> = self.index.values().copied().filter(over).collect();
         if dropped.is_empty() {
             return;
         }
@@ -1043,14 +1048,16 @@
     /// answers get lost, that one is held for lost, and so is one that others have overtaken. What may be
     /// repeated and can still be answered in time is called back and sent elsewhere.
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
-        let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
+        let overdue = |(&key, flight): (&Sent, &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { 1.0 };
-            let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
+            let live = self.live.get(&key.0);
+            let work = live.map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(work / aim.ms());
             let quiet = server.last_answer < flight.sent;
             let lost = self.lost >= LOST && (quiet || server.overtaken > flight.sent);
-            let late = now.since(flight.sent) > aim * (OVERDUE * pace).max(least);
+            let owed = !flight.begun && !live.is_some_and(|live| live.request.coming);
+            let late = owed && now.since(flight.sent) > aim * (OVERDUE * pace).max(least);
             (late && (quiet || lost)).then_some((key, flight.server, quiet, lost))
         };
         let late: Vec<_> = self.flights.iter().filter_map(overdue).collect();
@@ -1063,7 +1070,7 @@
             flight.into_iter().for_each(|f| f.stuck = true);
             let Some(live) = self.live.get(&id) else { continue };
             let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
-            let last = attempt as usize + 1 == live.attempts.len();
+            let last = attempt as usize + 1 == live.attempts.len() && !live.bound;
             let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
             if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
                 out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
@@ -1071,9 +1078,3 @@
         }
     }
 }
-
-/// Moves a figure towards a new one, a quarter as fast if that is slower: a crowd must not pass for usual.
-fn lean(figure: &mut f64, new: f64) {
-    let gain = if new < *figure { CLASS_GAIN } else { CLASS_GAIN / 4.0 };
-    *figure += gain * (new - *figure);
-}
--- a/src/told.rs
+++ b/src/told.rs
@@ -1,9 +1,8 @@
 //! What servers tell of their load, and how far that is still to be believed. No decision is made here.
 //!
-//! A report says how many requests wait, how many a second are answered and how long each took. By Little's law (L = rate x
-//! time) that gives all that the server holds, whoever sent it. Where the time leaves the wait out, it holds what waits at the
-//! least. A report is believed the less the older it is, and what takes its place is what others have at servers on the whole,
-//! which fades once nothing is heard. So no estimate stands for ever, and none can keep a server shut.
+//! A report says how many requests wait, how many a second are answered and how long each took: by Little's law (L = rate x
+//! time) all that the server holds. It is believed the less the older it is; in its place comes what others have at servers
+//! on the whole, which fades as well. So no estimate stands for ever, and none can keep a server shut.
 
 use crate::api::{Report, ReportField, Span, Time};
 
@@ -16,7 +15,7 @@
 /// What lies beyond this multiple of the mean, and so much more, counts as that much.
 const ODD: f64 = 3.0;
 const ODD_MORE: f64 = 20.0;
-/// Weight of a new report in the usual service time; a slower one counts a quarter, so that a crowd is not usual.
+/// Weight of a new figure in a usual time.
 const USUAL_GAIN: f64 = 0.04;
 /// Weight of a new report in a server's breadth, and in that of servers on the whole.
 const BREADTH_GAIN: f64 = 0.1;
@@ -29,8 +28,7 @@
 const OWN_WEIGHT: f64 = 12.0;
 /// Below this multiple of the usual time requests hardly stand in each other's way, or it is chance.
 const PLAIN: f64 = 2.0;
-/// Whatever the reports say, a server can work on one request at a time: without this bound a few odd reports would make
-/// it look too narrow for any request, and with none sent no other report would come.
+/// A server can work on one request at a time: too narrow for any by odd reports, it would never tell better.
 const BREADTH_LEAST: f64 = 1.0;
 
 /// The figures of a report that say something of load.
@@ -146,8 +144,7 @@
         if self.usual_ms == 0.0 {
             self.usual_ms = usual_ms.max(0.001);
         }
-        let gain = if service < self.usual_ms { USUAL_GAIN } else { USUAL_GAIN / 4.0 };
-        self.usual_ms += gain * (service - self.usual_ms);
+        lean(&mut self.usual_ms, service);
     }
 
     fn learn_breadth(&mut self, told: &mut Told, load: f64, stretch: f64) {
@@ -198,6 +195,12 @@
     }
 }
 
+/// Moves a usual time towards a new one, a quarter as fast if that is slower: a crowd must not pass for usual.
+pub(crate) fn lean(usual: &mut f64, new: f64) {
+    let gain = if new < *usual { USUAL_GAIN } else { USUAL_GAIN / 4.0 };
+    *usual += gain * (new - *usual);
+}
+
 fn leaned(figure: f64, seen: f64, gain: f64) -> f64 {
     let figure = if figure == 0.0 { seen } else { figure + gain * (seen - figure) };
     figure.max(BREADTH_LEAST)
