Pass long requests through as they come, to one server, and count them once whole

Change: 64 KiB of a body are kept, so that it can be sent again; what is longer goes on piece by piece (upstream/upload.rs), one piece at a time on its way. The module is told by facts, and decides: `Request::coming` (its time has not begun), `Bound` (a part has gone that is not kept: no second attempt, whatever the class), `Whole` (its time, and its server's, run from here). A body may pause, but not for long on the whole (28 kB a second after 2.5 s). Half a request runs nowhere: its connection is reset, and the outcome is "not sent", which blames no server. A server that refuses on the way is heard at once.

Rejected: holding the module's word back until all has come, which needs the whole body in memory; a time-out of the front's own, which would decide beside the module; keeping 256 KiB, which a few dozen slow clients would exhaust.

The lab's stand-ins read chunked requests now.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -158,11 +158,17 @@
             cost_hint: arrival.cost_hint,
             repeat: arrival.repeat,
             time_left: Span(left.as_micros() as u64),
-            coming: false,
+            coming: arrival.coming,
         }));
         Some((id, answer))
     }
 
+    /// All of a request has come; its client waits until `deadline`.
+    pub fn whole(&self, id: RequestId, deadline: Instant) {
+        self.0.core.borrow_mut().requests.whole(id, deadline);
+        self.tell(Event::Whole { request: id });
+    }
+
     /// Nothing is owed to a request any more: its client has gone, or its time is up.
     pub fn abandon(&self, id: RequestId) {
         let owed = self.0.core.borrow_mut().requests.abandon(id);
@@ -237,7 +243,9 @@
         let Departure { attempt, call, deadline, lawful, cancelled } = departure;
         // Nothing is sent beyond the time that the request has, either.
         let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
-        let place = if lawful && until > now { core.fleet.enter(server) } else { None };
+        // The time of a long request begins with its last byte.
+        let in_time = call.upload.is_some() || until > now;
+        let place = if lawful && in_time { core.fleet.enter(server) } else { None };
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = match place {
@@ -265,7 +273,7 @@
         let mut exchange = pin!(self.0.backends.attempt(place, call, until, &progress, owner));
         let given_up = tokio::select! {
             ended = exchange.as_mut() => return ended,
-            () = sleep_until(until) => Outcome::TimedOut,
+            () = time_up(call, until) => Outcome::TimedOut,
             Ok(()) = cancelled => Outcome::Cancelled,
         };
         match (progress.stage(), given_up) {
@@ -324,6 +332,14 @@
     }
 }
 
+/// Comes back when the time of an attempt is over: that of a long request begins when all of it has come.
+async fn time_up(call: &Call, until: Instant) {
+    match &call.upload {
+        Some(upload) => sleep_until(upload.whole().await - ATTEMPT_RESERVE).await,
+        None => sleep_until(until).await,
+    }
+}
+
 /// An attempt that is out, as the backends' side asks about it.
 struct Sending<'a> {
     driver: &'a Driver,
@@ -337,6 +353,11 @@
         self.driver.may_send(self.server)
     }
 
+    fn bind(&self) {
+        let attempt = AttemptNo(self.attempt);
+        self.driver.tell(Event::Bound { request: self.id, attempt });
+    }
+
     fn begin(&self, served: Served) -> bool {
         let first = self.driver.0.core.borrow_mut().requests.begin(self.id, served);
         if first {
@@ -380,10 +401,17 @@
 
     fn submit(driver: &Driver) -> (RequestId, oneshot::Receiver<Answer>) {
         let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        let call = Call { method: Method::GET, uri, headers, body: bytes::Bytes::new(), _portion: None };
+        let call = Call {
+            method: Method::GET,
+            uri,
+            headers,
+            body: bytes::Bytes::new(),
+            upload: None,
+            _portion: None,
+        };
         let deadline = Instant::now() + Duration::from_secs(60);
-        let (class, tenant, key, cost_hint, repeat) = (ClassId(0), None, None, None, false);
-        let arrival = Arrival { class, tenant, key, cost_hint, repeat, deadline };
+        let (class, tenant, key, cost_hint, repeat, coming) = (ClassId(0), None, None, None, false, false);
+        let arrival = Arrival { class, tenant, key, cost_hint, repeat, deadline, coming };
         driver.submit(call, HeaderValue::from_static("id"), arrival).expect("the only one of its name")
     }
 
--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -4,7 +4,8 @@
 use crate::budget::Budget;
 use crate::requests::Arrival;
 use crate::upstream::backend::Call;
-use crate::upstream::passing::SHORT_MOST as BODY_MOST;
+use crate::upstream::passing::BODY_MOST;
+use crate::upstream::upload::{upload, Source};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -21,6 +22,8 @@
 /// long has passed.
 const BODY_PACE: f64 = 28_000.0;
 const BODY_WAIT: Duration = Duration::from_millis(2500);
+/// What of a request is kept, so that it can be sent again. One that is longer passes through as it comes.
+const KEPT_MOST: usize = 64 * 1024;
 /// What a client goes on sending after it was turned away is read and thrown away within these bounds: a close with
 /// bytes unread would take the answer back.
 const DISCARD_MOST: usize = 256 * 1024;
@@ -61,11 +64,49 @@
     pub arrival: Arrival,
     /// Bytes that belong to it, where its head says so.
     pub bytes: Option<u64>,
+    /// What is still to come of it, if it is long.
+    pub rest: Option<Rest>,
+}
+
+/// The part of a long request that has not come yet.
+pub struct Rest {
+    body: Incoming,
+    pace: Pace,
+    source: Source,
+    budget: Duration,
+}
+
+impl Rest {
+    /// Passes on what comes, to the end.
+    pub async fn pour(&mut self, seat: &Seat, bytes: Option<u64>) -> Result<(), Fault> {
+        while let Some(piece) = self.pace.next(&mut self.body, seat).await? {
+            // A backend has all of it with the last byte of a stated length: what is wrong must be seen before.
+            if self.body.is_end_stream() {
+                check_end(seat, bytes)?;
+            }
+            self.source.push(piece).await;
+        }
+        check_end(seat, bytes)
+    }
+
+    /// All has come: the client's time runs from now. When it stops waiting.
+    pub fn finish(self) -> Instant {
+        let deadline = Instant::now() + self.budget;
+        self.source.finish(deadline);
+        deadline
+    }
+
+    /// Nobody wants the rest.
+    pub fn give_up(self) {
+        discard(self.body);
+    }
 }
 
 /// Why a request is turned away.
 pub type Fault = (StatusCode, &'static str);
 
+const TOO_LONG: Fault = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB");
+
 fn bad(why: &'static str) -> Fault {
     (StatusCode::BAD_REQUEST, why)
 }
@@ -91,23 +132,29 @@
             }
         };
         let stated = body.size_hint().exact();
-        let Some(portion) = self.bodies.take(stated.map_or(BODY_MOST, |bytes| bytes as usize)) else {
+        let Some(portion) = self.bodies.take(stated.map_or(KEPT_MOST, |bytes| KEPT_MOST.min(bytes as usize)))
+        else {
             discard(body);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"));
         };
         let (mut body, mut pace, mut kept) = (body, Pace::default(), BytesMut::new());
-        while let Some(data) = pace.next(&mut body).await? {
-            if kept.len() + data.len() > BODY_MOST {
-                discard(body);
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        let mut is_long = false;
+        while let Some(piece) = pace.next(&mut body, seat).await? {
+            kept.extend_from_slice(&piece);
+            is_long = kept.len() >= KEPT_MOST && !body.is_end_stream();
+            if is_long {
+                break;
             }
-            kept.extend_from_slice(&data);
         }
-        let body = kept.freeze();
         let bytes = stated.map(|body| head_bytes + body);
-        check_end(seat, bytes)?;
-        // The client's time runs from the last byte of its request, which has just come.
-        let deadline = Instant::now() + budget.min(self.classes[class].deadline);
+        if !is_long {
+            check_end(seat, bytes)?;
+        }
+        let budget = budget.min(self.classes[class].deadline);
+        let (source, upload) = is_long.then(|| upload(stated, budget)).unzip();
+        let rest = source.map(|source| Rest { body, pace, source, budget });
+        // The client's time runs from the last byte of its request, which has just come, or will.
+        let deadline = Instant::now() + budget;
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
         let arrival = Arrival {
@@ -117,6 +164,7 @@
             cost_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-again") == Some("1"),
             deadline,
+            coming: is_long,
         };
         let mut headers = HeaderMap::with_capacity(6);
         for name in [CALL_ID, IDEMPOTENCY_KEY, HOST, CONTENT_TYPE] {
@@ -126,8 +174,9 @@
         }
         let parts = head.uri.into_parts();
         let uri = parts.path_and_query.map(Into::into).unwrap_or_default();
-        let call = Call { method: head.method, uri, headers, body, _portion: Some(portion) };
-        Ok(Taken { call, call_id, arrival, bytes })
+        let (body, _portion) = (kept.freeze(), Some(portion));
+        let call = Call { method: head.method, uri, headers, body, upload, _portion };
+        Ok(Taken { call, call_id, arrival, bytes, rest })
     }
 
     /// What the head alone shows: the class, the name, the client's time and the head's length.
@@ -163,8 +212,8 @@
         if head.uri.path_and_query().is_none_or(|p| !p.as_str().starts_with('/')) {
             return Err(bad("no path"));
         }
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        if body.size_hint().lower() > BODY_MOST {
+            return Err(TOO_LONG);
         }
         Ok((class, call_id, Duration::from_millis(budget), head_bytes))
     }
@@ -179,7 +228,7 @@
 
 impl Pace {
     /// The next piece of a body, `None` at its end.
-    async fn next(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+    async fn next(&mut self, body: &mut Incoming, seat: &Seat) -> Result<Option<Bytes>, Fault> {
         loop {
             let most = BODY_WAIT + Duration::from_secs_f64(self.bytes as f64 / BODY_PACE);
             let asked = Instant::now();
@@ -191,7 +240,8 @@
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
                         self.bytes += data.len() as u64;
-                        return Ok(Some(data));
+                        seat.advance();
+                        return if self.bytes > BODY_MOST { Err(TOO_LONG) } else { Ok(Some(data)) };
                     }
                 }
                 Ok(Some(Err(_))) => return Err(bad("the body can't be read")),
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -92,6 +92,13 @@
         self.enter(Phase::Taking);
     }
 
+    /// A piece of the body has come.
+    pub fn advance(&self) {
+        if self.phase.get() == Phase::Taking {
+            self.since.set(Instant::now());
+        }
+    }
+
     /// The request is whole.
     pub fn take(&self) {
         self.enter(Phase::Busy);
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -1,11 +1,11 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
-use super::intake::{check_end, Catalogue, Taken};
+use super::intake::{check_end, Catalogue, Fault, Rest, Taken};
 use super::reply::Reply;
 use super::seats::{End, Seat, Seats};
 use crate::clients::Clients;
 use crate::driver::Driver;
-use crate::lifecycle::Rest;
+use crate::lifecycle::Rest as Resting;
 use crate::log::log;
 use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
@@ -19,6 +19,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot::error::RecvError;
+use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A client that hears nothing from the module gets its answer this long before it stops waiting.
@@ -98,9 +100,9 @@
     /// Ends the connections that may not rest any longer.
     pub fn settle(&self) {
         match self.clients.rest() {
-            Rest::Stay => {}
-            Rest::End => self.seats.end_all(),
-            Rest::EndAtOnce => self.seats.end_all_at_once(),
+            Resting::Stay => {}
+            Resting::End => self.seats.end_all(),
+            Resting::EndAtOnce => self.seats.end_all_at_once(),
         }
     }
 
@@ -170,38 +172,65 @@
         }
         let answer = match self.catalogue.take(seat, request).await {
             Ok(taken) => {
-                seat.take();
-                let bytes = taken.bytes;
-                let answer = self.pass_on(taken).await;
-                check_end(seat, bytes).map(|()| answer)
+                let (bytes, is_long) = (taken.bytes, taken.rest.is_some());
+                let answer = self.pass_on(seat, taken).await;
+                // Of a long one that was looked at before its last byte went on.
+                answer.and_then(
+                    |answer| if is_long { Ok(answer) } else { check_end(seat, bytes).map(|()| answer) },
+                )
             }
             Err(fault) => Err(fault),
         };
         answer.unwrap_or_else(|(status, why)| turned_away(status, why))
     }
 
-    async fn pass_on(&self, taken: Taken) -> Response<Reply> {
-        let deadline = taken.arrival.deadline;
-        let Some((id, answer)) = self.driver.submit(taken.call, taken.call_id, taken.arrival) else {
-            return turned_away(StatusCode::CONFLICT, "X-Call-Id is in use");
+    async fn pass_on(&self, seat: &Seat, taken: Taken) -> Result<Response<Reply>, Fault> {
+        let Taken { call, call_id, arrival, bytes, rest } = taken;
+        let mut deadline = arrival.deadline;
+        let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
+            rest.into_iter().for_each(Rest::give_up);
+            return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
         // Dropped by hyper with this future when the client closes its connection.
-        let pending = Pending { driver: self.driver.clone(), id };
-        let answer = timeout_at(deadline - ANSWER_RESERVE.min(deadline - Instant::now()), answer).await;
-        drop(pending);
-        match answer {
-            Ok(Ok(Answer::Served(served))) => {
-                let mut answer = Response::new(Reply::from(served.body));
-                if let Some(kind) = served.content_type {
-                    answer.headers_mut().insert(CONTENT_TYPE, kind);
+        let _pending = Pending { driver: self.driver.clone(), id };
+        let mut answer = pin!(answer);
+        if let Some(mut rest) = rest {
+            let early = tokio::select! {
+                biased;
+                answer = answer.as_mut() => Some(answer),
+                poured = rest.pour(seat, bytes) => {
+                    poured?;
+                    None
                 }
-                answer
+            };
+            if let Some(answer) = early {
+                rest.give_up();
+                let mut answer = worded(Ok(answer));
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return Ok(answer);
             }
-            Ok(Ok(Answer::Refused(retry_after))) => refused(retry_after),
-            Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
-            // The promise of one answer in time does not hang on the module.
-            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+            deadline = rest.finish();
+            self.driver.whole(id, deadline);
         }
+        seat.take();
+        Ok(worded(timeout_at(deadline - ANSWER_RESERVE.min(deadline - Instant::now()), answer).await))
+    }
+}
+
+/// An answer in the protocol's words; none has come in time, or from the module at all, if there is none.
+fn worded(answer: Result<Result<Answer, RecvError>, Elapsed>) -> Response<Reply> {
+    match answer {
+        Ok(Ok(Answer::Served(served))) => {
+            let mut answer = Response::new(Reply::from(served.body));
+            if let Some(kind) = served.content_type {
+                answer.headers_mut().insert(CONTENT_TYPE, kind);
+            }
+            answer
+        }
+        Ok(Ok(Answer::Refused(retry_after))) => refused(retry_after),
+        Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        // The promise of one answer in time does not hang on the module.
+        Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
     }
 }
 
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -31,8 +31,10 @@
     pub cost_hint: Option<Span>,
     /// The client says that it repeats an earlier one.
     pub repeat: bool,
-    /// When the client stops waiting.
+    /// When the client stops waiting; for a request that is still coming, if it were whole now.
     pub deadline: Instant,
+    /// Not all of it has come.
+    pub coming: bool,
 }
 
 /// A request that has attempts out or still owes its answer.
@@ -120,6 +122,13 @@
         Some(open.reply.is_none())
     }
 
+    /// All of a request has come that was still coming.
+    pub fn whole(&mut self, id: RequestId, deadline: Instant) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.deadline = deadline;
+        }
+    }
+
     /// The answer to a request has begun to come; false if it has had one.
     pub fn begin(&mut self, id: RequestId, served: Served) -> bool {
         let reply = self.open.get_mut(&id).and_then(|open| open.reply.take());
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -2,6 +2,7 @@
 
 use super::passing::{Passed, Passing, BODY_MOST, SHORT_MOST};
 use super::pool::{Lease, Place, Pool};
+use super::upload::{Sending, Upload};
 use crate::budget::{Budget, Portion};
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
@@ -17,7 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// The most that is read for a short answer: a body in small chunks, its head, and what may come ahead of it.
 const ANSWER_MOST: u64 = 4 * SHORT_MOST as u64;
@@ -29,6 +30,9 @@
 /// An answer that does not say how long it is and has not ended by then is passed on as it comes; one that comes no
 /// further has stalled before.
 const SHORT_WAIT: Duration = Duration::from_millis(150);
+/// A backend that takes nothing of a long request for so long gets no more of it; looked for this often.
+const STUCK_WAIT: Duration = Duration::from_secs(5);
+const STUCK_EVERY: Duration = Duration::from_millis(500);
 /// A probe that has not been answered by then has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// A figure of a load report beyond this is no figure.
@@ -42,17 +46,24 @@
     pub uri: Uri,
     /// The headers that go on unchanged.
     pub headers: HeaderMap,
-    /// Its body.
+    /// Its body, or what is kept of it.
     pub body: Bytes,
+    /// The rest of it, if it is long.
+    pub upload: Option<Rc<Upload>>,
     /// The memory that the body holds.
     pub _portion: Option<Portion>,
 }
 
 impl Call {
-    /// Fewer bytes than this are certainly not the whole message.
+    /// Fewer bytes than this are certainly not the whole message; no number of them is if it has not all come.
     fn least_bytes(&self) -> u64 {
+        let rest = match &self.upload {
+            Some(upload) => upload.passed_whole(),
+            None => Some(0),
+        };
+        let Some(rest) = rest else { return u64::MAX };
         let headers: usize = self.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-        (self.method.as_str().len() + self.uri.path().len() + headers + self.body.len()) as u64
+        rest + (self.method.as_str().len() + self.uri.path().len() + headers + self.body.len()) as u64
     }
 }
 
@@ -136,6 +147,8 @@
 pub trait Owner {
     /// Whether the first byte may go now: a server may have been told to drain while the connection was on its way.
     fn may_send(&self) -> bool;
+    /// A long request is about to be sent with this attempt, and can't be sent with another.
+    fn bind(&self);
     /// A long answer has begun; false if its request has had its answer.
     fn begin(&self, served: Served) -> bool;
 }
@@ -168,7 +181,6 @@
         progress: &Progress,
         owner: &impl Owner,
     ) -> Ended {
-        let least = call.least_bytes();
         loop {
             let mut lease = match self.pool.lease(place).await {
                 Ok(lease) => lease,
@@ -178,13 +190,25 @@
                 self.pool.give_back(place, lease);
                 return Outcome::NotSent.into();
             }
+            if call.upload.is_some() {
+                owner.bind();
+            }
             progress.0.set(Stage::Sent);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
             let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
-            let written = view.written() - before;
+            let (written, least) = (view.written() - before, call.least_bytes());
+            let upload = call.upload.as_ref();
+            if upload.is_some_and(|upload| upload.is_broken()) {
+                return Outcome::NotSent.into();
+            }
+            let untouched = upload.is_none_or(|upload| upload.is_untouched());
             self.pool.note(&lease, answer.is_err() && view.received() == received);
             match answer {
+                // A server may turn a long request away, or fail, before it has all of it.
+                Ok(Reply::Whole(ended)) if written < least && upload.is_some() && ended.served.is_none() => {
+                    return ended;
+                }
                 // An answer to what was not all there yet is none to this request.
                 Ok(_) if written < least => return Outcome::ConnectionReset.into(),
                 Ok(Reply::Whole(ended)) => {
@@ -214,7 +238,9 @@
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
-                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => progress.0.set(Stage::Ahead),
+                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 && untouched => {
+                    progress.0.set(Stage::Ahead);
+                }
                 Err(Spoilt::Connection) if written < least => return Outcome::ConnectFailed.into(),
                 Err(_) => return Outcome::ConnectionReset.into(),
             }
@@ -222,7 +248,7 @@
     }
 
     /// One request out and its answer in.
-    async fn exchange(&self, lease: &mut Lease, mut request: Request<Full<Bytes>>) -> Result<Reply, Spoilt> {
+    async fn exchange(&self, lease: &mut Lease, mut request: Request<Sending>) -> Result<Reply, Spoilt> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(Spoilt::Connection)?;
         // Answers 1xx come ahead of the one that counts, which may take its time after them.
@@ -230,6 +256,7 @@
         let inform = Arc::clone(&informed);
         hyper::ext::on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
         let received = view.received();
+        let is_long = matches!(request.body(), Sending::Coming(..));
         view.arm(ANSWER_MOST);
         let whole = async {
             let answer = sender.try_send_request(request).await.map_err(|_| Spoilt::Connection)?;
@@ -239,6 +266,7 @@
             biased;
             answer = whole => answer,
             () = stalled(&view, received, &informed) => Err(Spoilt::Answer),
+            () = stuck(&view), if is_long => Err(Spoilt::Connection),
         }
     }
 
@@ -292,7 +320,7 @@
     pub async fn probe(&self, place: Place) -> Ended {
         let uri = Uri::from_static(if self.has_reports { "/stats" } else { "/health/live" });
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let call = Call { method: Method::GET, uri, headers, body, _portion: None };
+        let call = Call { method: Method::GET, uri, headers, body, upload: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         let progress = Progress::default();
         let attempt = self.attempt(place, &call, until, &progress, &Probing);
@@ -324,6 +352,8 @@
         true
     }
 
+    fn bind(&self) {}
+
     fn begin(&self, _: Served) -> bool {
         false
     }
@@ -370,13 +400,26 @@
     }
 }
 
+/// Comes back when a backend has taken nothing of a long request for a while.
+async fn stuck(view: &View) {
+    while view.stuck_since().is_none_or(|since| since.elapsed() < STUCK_WAIT) {
+        sleep(STUCK_EVERY).await;
+    }
+}
+
 /// The message to a backend: the client's own, with the time that this attempt has.
-fn message(call: &Call, address: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn message(call: &Call, address: SocketAddr, until: Instant) -> Request<Sending> {
+    let body = call.body.clone();
+    let mut request = Request::new(match &call.upload {
+        Some(upload) => Sending::Coming(Some(body), Rc::clone(upload)),
+        None => Sending::Whole(Full::new(body)),
+    });
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let left = until.saturating_duration_since(Instant::now());
+    // The time of a request that is still coming has not begun.
+    let left = call.upload.as_ref().map_or(left, |upload| upload.budget).as_millis() as u64;
     request.headers_mut().insert("x-budget-ms", HeaderValue::from(left));
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().entry(HOST).or_insert(host);
@@ -400,6 +443,8 @@
             self.0
         }
 
+        fn bind(&self) {}
+
         fn begin(&self, _: Served) -> bool {
             false
         }
@@ -417,7 +462,7 @@
 
     fn post(body: usize) -> Call {
         let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        Call { method: Method::POST, uri, headers, body: vec![7; body].into(), _portion: None }
+        Call { method: Method::POST, uri, headers, body: vec![7; body].into(), upload: None, _portion: None }
     }
 
     async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
--- a/agent/src/upstream/mod.rs
+++ b/agent/src/upstream/mod.rs
@@ -4,3 +4,4 @@
 pub mod passing;
 pub mod pool;
 mod rest;
+pub mod upload;
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -1,10 +1,9 @@
 //! The connections to backends: at work, idle, or not there yet.
 
 use super::rest::Rest;
+use super::upload::Sending;
 use crate::tally::{Count, Tally};
 use crate::wire::{Gauge, View, Wire};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use ryelead::{Outcome, ServerId};
 use std::cell::RefCell;
@@ -38,7 +37,7 @@
 
 /// A connection that carries no request.
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Sending>,
     view: View,
     task: AbortHandle,
     since: Instant,
@@ -74,7 +73,7 @@
 /// still came on it would be taken for the answer to the next request. What has not reached the server by then must
 /// not reach it later: the request is answered, or sent elsewhere.
 pub struct Lease {
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Sending>>,
     /// Its socket.
     pub view: View,
     task: AbortHandle,
@@ -89,7 +88,7 @@
     }
 
     /// What sends on it.
-    pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+    pub fn sender(&mut self) -> Option<&mut SendRequest<Sending>> {
         self.sender.as_mut()
     }
 }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -10,3 +10,4 @@
 mod reload;
 mod spoilt;
 mod stopping;
+mod uploads;
--- a/lab/src/standins/http.rs
+++ b/lab/src/standins/http.rs
@@ -7,7 +7,7 @@
 
 /// The largest head and the largest body that are read, in bytes.
 const HEAD_MOST: usize = 64 * 1024;
-const BODY_MOST: usize = 8 * 1024 * 1024;
+const BODY_MOST: usize = 48 * 1024 * 1024;
 /// The first head of a connection is seldom longer.
 const CHUNK: usize = 2048;
 
@@ -150,19 +150,61 @@
         if !follow(Stage::Head, &message) {
             return Err(Broken::Stopped(first));
         }
-        let length = message.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0usize);
-        while self.buffer.len() < head_end.saturating_add(length) {
-            if length > BODY_MOST || !matches!(self.more().await, Ok(n) if n > 0) {
-                return Err(Broken::Midway(first, self.buffer.len()));
+        if message.header("transfer-encoding").is_some_and(|coding| coding.eq_ignore_ascii_case("chunked")) {
+            self.buffer.drain(..head_end);
+            while self.chunk(&mut message.body).await.ok_or(Broken::Midway(first, self.buffer.len()))? {}
+        } else {
+            let length = message.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0usize);
+            while self.buffer.len() < head_end.saturating_add(length) {
+                if length > BODY_MOST || !matches!(self.more().await, Ok(n) if n > 0) {
+                    return Err(Broken::Midway(first, self.buffer.len()));
+                }
             }
+            message.body = self.buffer[head_end..head_end + length].to_vec();
+            self.buffer.drain(..head_end + length);
         }
-        message.body = self.buffer[head_end..head_end + length].to_vec();
-        self.buffer.drain(..head_end + length);
         if self.buffer.is_empty() && self.buffer.capacity() > 4 * CHUNK {
             self.buffer = Vec::new();
         }
         Ok(Incoming { message, first, last: self.clock.now() })
     }
+
+    /// A line, without its end; `None` if the peer ends it otherwise or it is too long.
+    async fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(at) = self.buffer.windows(2).position(|w| w == b"\r\n") {
+                let line = String::from_utf8_lossy(&self.buffer[..at]).into_owned();
+                self.buffer.drain(..at + 2);
+                return Some(line);
+            }
+            if self.buffer.len() > HEAD_MOST || !matches!(self.more().await, Ok(n) if n > 0) {
+                return None;
+            }
+        }
+    }
+
+    /// Adds the next chunk to a body; false after the last one and its trailers, `None` if it is none.
+    async fn chunk(&mut self, body: &mut Vec<u8>) -> Option<bool> {
+        let line = self.line().await?;
+        let digits = line.split(';').next().unwrap_or_default().trim();
+        let length = usize::from_str_radix(digits, 16).ok()?;
+        if length == 0 {
+            while !self.line().await?.is_empty() {}
+            return Some(false);
+        }
+        if length > BODY_MOST - body.len() {
+            return None;
+        }
+        while self.buffer.len() < length + 2 {
+            if !matches!(self.more().await, Ok(n) if n > 0) {
+                return None;
+            }
+        }
+        body.extend_from_slice(&self.buffer[..length]);
+        let ends = &self.buffer[length..length + 2] == b"\r\n";
+        self.buffer.drain(..length + 2);
+        ends.then_some(true)
+    }
 }
 
 /// An answer with a body.
@@ -180,6 +222,24 @@
 mod tests {
     use super::*;
 
+    #[tokio::test]
+    async fn chunks_are_put_together_and_bad_ones_are_no_message() {
+        let head = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (chunks, expected) in [
+            ("4;x=y\r\nbody\r\nA\r\n0123456789\r\n0\r\nX-Sum: 1\r\n\r\n", Some("body0123456789")),
+            ("0\r\n\r\n", Some("")),
+            ("4\r\nbody0\r\n\r\n", None),
+            ("zz\r\n", None),
+            ("ffffffffffffffff\r\nbody", None),
+            ("4\r\nbo", None),
+        ] {
+            let text = format!("{head}{chunks}");
+            let mut reader = Reader::new(text.as_bytes(), Clock::start());
+            let body = reader.next(|_, _| true).await.ok().map(|read| read.message.body);
+            assert_eq!(body.as_deref(), expected.map(str::as_bytes), "{chunks:?}");
+        }
+    }
+
     #[tokio::test]
     async fn messages_are_told_apart_however_they_come() {
         let text =
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -171,8 +171,15 @@
     trial: Option<usize>,
     /// Its answer is held for lost. A place kept for it to a deadline far off would shut its server.
     stuck: bool,
-    /// Its answer has begun to come.
-    begun: bool,
+    stage: Stage,
+}
+
+/// How far an attempt has come. Only while its server works on it does it hold a place there.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Coming,
+    Out,
+    Begun,
 }
 
 struct Suspicion {
@@ -356,8 +363,7 @@
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
         let deadline = now + request.time_left;
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
-        self.count(now, &request);
-        let over_share = self.over_share(&request);
+        let over_share = self.over_share(now, &request);
         let (attempts, bound, picks) = (Vec::new(), false, 0);
         let live = Live { request, deadline, wanted_by, attempts, bound, over_share, picks };
         let hopeless = self.hopeless(now, &live);
@@ -371,20 +377,14 @@
         }
     }
 
-    /// Keeps the traffic of the last seconds by tenant.
-    fn count(&mut self, now: Time, request: &Request) {
+    /// Counts a request by its tenant. Of one that takes more than its fraction of this balancer's traffic,
+    /// the excess is over share. No balancer sees the whole; its own traffic is the sample that it has.
+    fn over_share(&mut self, now: Time, request: &Request) -> bool {
         let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
         self.counted_at = now;
         self.tenant_asked.iter_mut().for_each(|n| *n *= keep);
-        if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
-            *n += 1.0;
-        }
-    }
-
-    /// Of a tenant that takes more than its fraction of this balancer's traffic, the excess is over share.
-    /// No balancer sees the whole; its own traffic is the sample that it has.
-    fn over_share(&mut self, request: &Request) -> bool {
-        let Some(tenant) = request.tenant.filter(|t| t.0 < self.settings.tenants.len()) else { return false };
+        let Some(tenant) = request.tenant.filter(|t| t.0 < self.tenant_asked.len()) else { return false };
+        self.tenant_asked[tenant.0] += 1.0;
         let all: f64 = self.tenant_asked.iter().sum();
         let fair = SHARE_SLACK * self.settings.tenants[tenant.0].fraction * all;
         self.settings.over_share_worth < 1.0 && self.rng.f64() * self.tenant_asked[tenant.0] > fair.max(1.0)
@@ -498,11 +498,6 @@
         true
     }
 
-    /// How far this balancer goes by what servers tell; 1 for one of very many.
-    fn of_others(&self, now: Time) -> f64 {
-        self.hearsay.of_others(now, self.serving.len(), self.settings.balancers)
-    }
-
     /// What others have at a server. A cold one is not as full as the rest: it would stand idle for that.
     fn others(&self, now: Time, s: &Server) -> f64 {
         self.hearsay.others(now, &s.told, self.warmth(s, now) >= 1.0)
@@ -527,7 +522,8 @@
         let most = (0..classes.len()).map(|c| self.worth(c)).fold(f64::MIN_POSITIVE, f64::max);
         let over = if live.over_share { self.settings.over_share_worth } else { 1.0 };
         let part = ((self.worth(class) / most).powf(0.4) * over).clamp(1e-3, 1.0);
-        let full = FULL / self.of_others(now) * (1.0 + FULL_LESS * part.ln());
+        let weight = self.hearsay.of_others(now, self.serving.len(), self.settings.balancers);
+        let full = FULL / weight * (1.0 + FULL_LESS * part.ln());
         let stretch = full.max(0.0) * classes[class].aim.ms() / self.usual(class);
         Ask { reach: self.lawful(live, now).0, class, stretch }
     }
@@ -619,7 +615,7 @@
         let class = live.request.class.0;
         let warm = live.request.key.and_then(|k| self.warm.get(&k)).copied();
         let heavy = (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt();
-        let weight = self.of_others(now);
+        let weight = self.hearsay.of_others(now, self.serving.len(), self.settings.balancers);
         let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
         let key = |c: usize, coin: u32| {
@@ -679,15 +675,15 @@
         let attempt = live.attempts.len() as u32;
         let Listed { zone, cell, .. } = s.listed;
         live.attempts.push(Attempt { server, zone, cell, sent: now, ended: None });
-        s.in_flight += 1;
+        let stage = if live.request.coming { Stage::Coming } else { Stage::Out };
+        s.in_flight += u32::from(stage == Stage::Out);
         self.hearsay.send(now);
         let trial = [WHOLE, class + 1].into_iter().find(|&r| s.records[r].suspicion.is_some());
         if let Some(q) = trial.and_then(|r| s.records[r].suspicion.as_mut()) {
             q.next_trial = Time(u64::MAX);
             self.trials -= 1.0;
         }
-        self.flights
-            .insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false, begun: false });
+        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false, stage });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
     }
 
@@ -738,7 +734,11 @@
         let late = (now + live.request.time_left).since(live.deadline);
         live.request.coming = false;
         (live.deadline, live.wanted_by) = (live.deadline + late, live.wanted_by + late);
-        self.flights.range_mut((id, 0)..=(id, u32::MAX)).for_each(|(_, flight)| flight.sent = now);
+        let flights = self.flights.range_mut((id, 0)..=(id, u32::MAX)).map(|(_, flight)| flight);
+        for flight in flights.filter(|flight| flight.stage == Stage::Coming) {
+            (flight.sent, flight.stage) = (now, Stage::Out);
+            self.servers[flight.server].in_flight += 1;
+        }
     }
 
     /// A long answer has begun: its server's work on it is done, and only the rest of it is out.
@@ -746,7 +746,7 @@
         self.bind(id, attempt);
         let Some(mut flight) = self.flights.remove(&(id, attempt.0)) else { return };
         self.land(&flight);
-        if !std::mem::replace(&mut flight.begun, true) {
+        if std::mem::replace(&mut flight.stage, Stage::Begun) != Stage::Begun {
             self.learn(now, &flight, Outcome::Success, now.since(flight.sent), out);
         }
         self.flights.insert((id, attempt.0), Flight { stuck: false, trial: None, ..flight });
@@ -754,7 +754,7 @@
 
     /// An attempt holds no place at its server any more.
     fn land(&mut self, flight: &Flight) {
-        self.servers[flight.server].in_flight -= u32::from(!flight.begun);
+        self.servers[flight.server].in_flight -= u32::from(flight.stage == Stage::Out);
         self.servers[flight.server].stuck -= u32::from(flight.stuck);
     }
 
@@ -764,7 +764,7 @@
         self.land(&flight);
         self.read_report(now, flight.server, report);
         // Of an answer that has begun only a break is news.
-        if !flight.begun || outcome == Outcome::ConnectionReset {
+        if flight.stage != Stage::Begun || outcome == Outcome::ConnectionReset {
             self.learn(now, &flight, outcome, elapsed, out);
         }
         if closed {
@@ -881,7 +881,7 @@
             // An error of one class does not clear the machine, nor the other way round.
             let (failed, record) = (at_fault == Some(r), &mut s.records[r]);
             let more = if failed && outcome == Outcome::ConnectFailed { FAILURES } else { u32::from(failed) };
-            let whole = outcome == Outcome::Success && !flight.begun;
+            let whole = outcome == Outcome::Success && flight.stage != Stage::Begun;
             record.failures = if whole { 0 } else { record.failures + more };
             record.failing += FAILING_GAIN * (f64::from(u8::from(failed)) - record.failing);
         }
@@ -1051,13 +1051,12 @@
         let overdue = |(&key, flight): (&Sent, &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { 1.0 };
-            let live = self.live.get(&key.0);
-            let work = live.map_or(0.0, |live| self.work(live));
+            let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.class_pace[flight.class].max(work / aim.ms());
             let quiet = server.last_answer < flight.sent;
             let lost = self.lost >= LOST && (quiet || server.overtaken > flight.sent);
-            let owed = !flight.begun && !live.is_some_and(|live| live.request.coming);
-            let late = owed && now.since(flight.sent) > aim * (OVERDUE * pace).max(least);
+            let late =
+                flight.stage == Stage::Out && now.since(flight.sent) > aim * (OVERDUE * pace).max(least);
             (late && (quiet || lost)).then_some((key, flight.server, quiet, lost))
         };
         let late: Vec<_> = self.flights.iter().filter_map(overdue).collect();
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -91,6 +91,26 @@
     assert!(actions.iter().any(|a| matches!(a, Action::Log { .. })), "{actions:?}");
 }
 
+/// Requests that come slowly are no work for their server yet.
+#[test]
+fn a_server_that_is_sent_long_requests_has_room_until_they_are_whole() {
+    let mut rig = one_server(Effect::Idempotent);
+    let ask = |rig: &mut Rig, n: u64| {
+        let request = Request::new(RequestId(7000 + n), ClassId(0), Span::from_ms(800.0));
+        rig.tell(Event::Request(Request { coming: true, ..request }));
+        rig.sent_to(RequestId(7000 + n)).is_some()
+    };
+    assert!((0..50).all(|n| ask(&mut rig, n)), "none fills it");
+    for n in 0..50 {
+        rig.tell(Event::Whole { request: RequestId(7000 + n) });
+    }
+    assert!(!ask(&mut rig, 50), "all at once do");
+    for n in 0..50 {
+        ended(&mut rig, RequestId(7000 + n), Outcome::Success);
+    }
+    assert!(ask(&mut rig, 51), "and leave it free");
+}
+
 /// A part of the request has gone and is not kept: no other attempt can have it whole, even where none of it ran.
 #[test]
 fn a_bound_request_is_not_sent_again() {
