--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -63,7 +63,8 @@
                 let seen = Seen {
                     class: r.class.0,
                     work: r.cost_hint.map_or(1.0, |h| h.ms() / 40.0),
-                    deadline: now + r.time_left,
+                    // The time of one that is still coming has not begun.
+                    deadline: if r.coming { Time(u64::MAX / 2) } else { now + r.time_left },
                     time_left: r.time_left,
                     tries: Vec::new(),
                     over: false,
--- a/tests/random_walk.rs
+++ b/tests/random_walk.rs
@@ -34,6 +34,8 @@
     sent: Time,
     deadline: Time,
     streaming: bool,
+    /// Its request is still coming.
+    coming: bool,
 }
 
 /// Plays `steps` random events; all that the balancer did, as text.
@@ -47,6 +49,7 @@
     let mut attempts: BTreeMap<RequestId, u32> = BTreeMap::new();
     let mut said = Vec::new();
     let mut probing: Vec<ServerId> = Vec::new();
+    let mut coming: BTreeMap<RequestId, Span> = BTreeMap::new();
     rig.tell(Event::List(ListUpdate::Saved(lines.clone())));
     for step in 0..steps {
         let mut actions = Vec::new();
@@ -57,11 +60,17 @@
                 let mut request = Request::new(RequestId(u64::from(step)), ClassId(class), left);
                 request.key = rng.bool().then(|| KeyId(rng.u64(0..5)));
                 request.cost_hint = rng.bool().then(|| Span::from_ms(rng.f64() * 80.0));
+                request.coming = rng.u32(0..6) == 0;
+                if request.coming {
+                    coming.insert(request.id, left);
+                }
                 actions.extend_from_slice(rig.tell(Event::Request(request)));
             }
             40..=79 if !out.is_empty() => {
                 let o = out.swap_remove(rng.usize(0..out.len()));
                 let outcome = match rng.u32(0..10) {
+                    // Half a request is served by nobody.
+                    n if o.coming && n > 4 => [Outcome::NotSent, Outcome::ConnectFailed][rng.usize(0..2)],
                     _ if rig.now >= o.deadline && !o.streaming => Outcome::TimedOut,
                     0 => Outcome::ServerError,
                     1 if !o.streaming => Outcome::Rejected,
@@ -82,13 +91,30 @@
                     closed,
                 }));
             }
-            80..=83 if !out.is_empty() => {
+            80..=83 if !out.is_empty() && rng.bool() => {
                 let i = rng.usize(0..out.len());
                 let o = &mut out[i];
                 o.streaming = true;
                 let event = Event::FirstByte { request: o.request, attempt: AttemptNo(o.attempt) };
                 actions.extend_from_slice(rig.tell(event));
             }
+            80..=83 if !coming.is_empty() => {
+                let (request, left) =
+                    coming.iter().nth(rng.usize(0..coming.len())).map(|(r, l)| (*r, *l)).unwrap();
+                // A part of it has gone that is not kept; or all of it has come.
+                let whole = rng.bool();
+                if let Some(o) = out.iter_mut().find(|o| o.request == request) {
+                    let event = Event::Bound { request, attempt: AttemptNo(o.attempt) };
+                    actions.extend_from_slice(rig.tell(event));
+                    if whole {
+                        (o.coming, o.deadline) = (false, rig.now + left);
+                    }
+                }
+                if whole {
+                    coming.remove(&request);
+                    actions.extend_from_slice(rig.tell(Event::Whole { request }));
+                }
+            }
             84..=86 => {
                 let request = RequestId(u64::from(rng.u32(0..step + 1)));
                 actions.extend_from_slice(rig.tell(Event::ClientGone { request }));
@@ -127,9 +153,11 @@
             match action {
                 Action::Send { request, timeout_at, .. } => {
                     let number = attempts.entry(*request).or_insert(0);
-                    let (attempt, sent, deadline) = (*number, rig.now, *timeout_at);
+                    let coming = coming.contains_key(request);
+                    let deadline = if coming { Time(u64::MAX) } else { *timeout_at };
+                    let (attempt, sent) = (*number, rig.now);
                     *number += 1;
-                    out.push(Out { request: *request, attempt, sent, deadline, streaming: false });
+                    out.push(Out { request: *request, attempt, sent, deadline, streaming: false, coming });
                 }
                 Action::Cancel { request, attempt } => {
                     let hit = |o: &Out| o.request == *request && o.attempt == attempt.0 && !o.streaming;
