--- a/agent/tests/loopback/operators.rs
+++ b/agent/tests/loopback/operators.rs
@@ -2,6 +2,7 @@
 
 use dilljunction_lab::standins::hand::*;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// An agent with a door.
 fn with_door(backend: &Backend) -> (Agent, Discovery, SocketAddr) {
@@ -65,6 +66,29 @@
     }
 }
 
+/// Descriptors for operators are set aside: with every seat of the clients taken the door still opens.
+#[test]
+fn the_door_opens_with_every_seat_taken() {
+    let (backend, release) = Backend::gated();
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    // 64 descriptors less the reserve leave 8 seats.
+    let agent = Agent::start(&door(&config(discovery.address, &line, SETTINGS, 64)));
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::to(&agent)).collect();
+    clients.iter_mut().for_each(|client| client.write(&request("once", 9000)));
+    backend.heard.wait(1);
+    let admin = agent.admin.unwrap();
+    let mut silent: Vec<Client> = (0..20).map(|_| Client::at(admin)).collect();
+    assert_eq!(call(admin, "GET /healthcheck"), 200);
+    assert_eq!(call(admin, "POST /healthcheck/fail"), 200);
+    assert!(silent.iter_mut().all(Client::ends));
+    drop(release);
+    assert!(
+        clients.iter_mut().all(|client| client.read().is_some()),
+        "and nobody who was let in is left alone"
+    );
+}
+
 /// The process lives on through a drain: it answers what it has, and serves who still comes, once.
 #[test]
 fn a_drain_sends_the_clients_away_and_ok_brings_them_back() {
@@ -148,6 +172,46 @@
     assert_eq!(Client::to(&old).ask(&request("read", 9000)).status(), 200);
 }
 
+/// One upgrade after the other while clients ask without a pause, on connections that they keep: each request is served,
+/// and no connection ends under one.
+#[test]
+fn upgrades_under_load_end_no_request() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let text = config(discovery.address, &line, SETTINGS, 1024);
+    let text = door(&text.replace("127.0.0.1:0", &address.to_string()));
+    let over = AtomicBool::new(false);
+    let ask_on = || {
+        let (mut served, mut kept) = (0, None);
+        while !over.load(Ordering::Relaxed) {
+            let mut client: Client = kept.take().unwrap_or_else(|| Client::at(address));
+            client.write(&request("read", 9000));
+            let answer = client.read().expect("no connection ends under a request");
+            assert_eq!(answer.status(), 200);
+            kept = (answer.header("Connection") != Some("close")).then_some(client);
+            served += 1;
+        }
+        served
+    };
+    let served: usize = std::thread::scope(|scope| {
+        let mut old = Agent::inheriting(&text, &listener);
+        let clients: Vec<_> = (0..4).map(|_| scope.spawn(ask_on)).collect();
+        for _ in 0..5 {
+            let new = Agent::inheriting(&text, &listener);
+            while call(new.admin.unwrap(), "GET /healthcheck") != 200 {}
+            old.terminate();
+            assert_eq!(old.ended(), Some(0));
+            old = new;
+        }
+        over.store(true, Ordering::Relaxed);
+        clients.into_iter().map(|client| client.join().expect("a client that was served")).sum()
+    });
+    assert!(served > 100, "{served} requests show little");
+}
+
 /// A process that can't decide yet leaves the queue to the one that can.
 #[test]
 fn a_new_process_without_a_list_takes_no_client_from_the_old_one() {
@@ -186,8 +250,23 @@
         assert!(!output.status.success() && said.contains("LB_LISTEN_FD") && said.contains(reason), "{said}");
         assert_eq!(said.lines().count(), 1, "{said}");
     }
-    let admin = text.replacen('{', r#"{"admin":"127.0.0.1:99","#, 1).replace("127.0.0.1:0", "127.0.0.1:99");
-    let output = command(&config_file(&admin)).output().unwrap();
-    let said = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(said.contains("admin") && said.contains("the address for clients"), "{said}");
+}
+
+/// An address for operators that is the clients', is none, or is taken ends the start with one line that says so.
+#[test]
+fn an_address_for_operators_that_cannot_be_used_ends_the_start() {
+    let discovery = Discovery::new(String::new());
+    let text = config(discovery.address, "", SETTINGS, 1024);
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let taken = taken.local_addr().unwrap().to_string();
+    let with = |admin: &str| text.replacen('{', &format!(r#"{{"admin":"{admin}","#), 1);
+    let same = with("127.0.0.1:99").replace("127.0.0.1:0", "127.0.0.1:99");
+    for (text, reason) in
+        [(same, "the address for clients"), (with("nowhere"), "nowhere"), (with(&taken), "cannot listen on")]
+    {
+        let output = command(&config_file(&text)).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains("admin") && said.contains(reason), "{said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+    }
 }
