--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -156,7 +156,7 @@
                     clients.stop();
                     stopped = true;
                 }
-                () = sleep(END_EVERY), if stopped => {}
+                () = sleep(END_EVERY), if listener.is_none() => {}
             }
             if stopped && !clients.accepts() {
                 listener = None;
--- a/agent/src/budget.rs
+++ b/agent/src/budget.rs
@@ -18,9 +18,7 @@
         self.0.set(self.0.get().checked_sub(bytes)?);
         Some(Portion { budget: Rc::clone(self), bytes })
     }
-}
 
-impl Budget {
     /// The same, once there are so many.
     pub async fn take_when_free(self: &Rc<Self>, bytes: usize) -> Portion {
         loop {
--- a/agent/src/clients.rs
+++ b/agent/src/clients.rs
@@ -1,7 +1,7 @@
 //! The life cycle of this process as its fronts and its owner share it: orders in, and a bell for whoever waits for change.
 
 use crate::driver::Driver;
-use crate::lifecycle::{LifeCycle, OnItsWayOut, Phase, Rest};
+use crate::lifecycle::{LifeCycle, OnItsWayOut, Phase, Resting};
 use crate::log::log;
 use std::cell::RefCell;
 use tokio::sync::Notify;
@@ -83,7 +83,7 @@
     }
 
     /// What is to be done about connections that owe nothing.
-    pub fn rest(&self) -> Rest {
+    pub fn rest(&self) -> Resting {
         self.life.borrow().rest(Instant::now())
     }
 
--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -65,11 +65,11 @@
     /// Bytes that belong to it, where its head says so.
     pub bytes: Option<u64>,
     /// What is still to come of it, if it is long.
-    pub rest: Option<Rest>,
+    pub rest: Option<Remainder>,
 }
 
 /// The part of a long request that has not come yet.
-pub struct Rest {
+pub struct Remainder {
     body: Incoming,
     pace: Pace,
     source: Source,
@@ -77,7 +77,7 @@
     _portion: Option<Portion>,
 }
 
-impl Rest {
+impl Remainder {
     /// Passes on what comes, to the end.
     pub async fn pour(&mut self, seat: &Seat, bytes: Option<u64>) -> Result<(), Fault> {
         while let Some(piece) = self.pace.next(&mut self.body, seat).await? {
@@ -139,9 +139,18 @@
             discard(body);
             return Err(NO_MEMORY);
         };
-        let (mut body, mut pace, mut kept) = (body, Pace::default(), BytesMut::new());
+        let keeps = stated.map_or(0, |bytes| KEPT_MOST.min(bytes as usize));
+        let (mut body, mut pace, mut kept) = (body, Pace::default(), BytesMut::with_capacity(keeps));
         let mut is_long = false;
-        while let Some(piece) = pace.next(&mut body, seat).await? {
+        loop {
+            let piece = match pace.next(&mut body, seat).await {
+                Ok(Some(piece)) => piece,
+                Ok(None) => break,
+                Err(fault) => {
+                    discard(body);
+                    return Err(fault);
+                }
+            };
             kept.extend_from_slice(&piece);
             is_long = kept.len() >= KEPT_MOST && !body.is_end_stream();
             if is_long {
@@ -160,7 +169,7 @@
         }
         let (source, upload) = is_long.then(|| upload(stated, budget)).unzip();
         let _portion = more.flatten();
-        let rest = source.map(|source| Rest { body, pace, source, budget, _portion });
+        let rest = source.map(|source| Remainder { body, pace, source, budget, _portion });
         // The client's time runs from the last byte of its request, which has just come, or will.
         let deadline = Instant::now() + budget;
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -1,11 +1,11 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
-use super::intake::{check_end, Catalogue, Fault, Rest, Taken};
+use super::intake::{check_end, Catalogue, Fault, Remainder, Taken};
 use super::reply::Reply;
 use super::seats::{End, Seat, Seats};
 use crate::clients::Clients;
 use crate::driver::Driver;
-use crate::lifecycle::Rest as Resting;
+use crate::lifecycle::Resting;
 use crate::log::log;
 use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
@@ -188,24 +188,21 @@
         let Taken { call, call_id, arrival, bytes, rest } = taken;
         let mut deadline = arrival.deadline;
         let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
-            rest.into_iter().for_each(Rest::give_up);
+            rest.into_iter().for_each(Remainder::give_up);
             return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
         // Dropped by hyper with this future when the client closes its connection.
         let _pending = Pending { driver: self.driver.clone(), id };
         let mut answer = pin!(answer);
         if let Some(mut rest) = rest {
-            let early = tokio::select! {
+            let poured = tokio::select! {
                 biased;
-                answer = answer.as_mut() => Some(answer),
-                poured = rest.pour(seat, bytes) => {
-                    poured?;
-                    None
-                }
+                answer = answer.as_mut() => Err(Ok(answer)),
+                poured = rest.pour(seat, bytes) => poured.map_err(Err),
             };
-            if let Some(answer) = early {
+            if let Err(over) = poured {
                 rest.give_up();
-                let mut answer = worded(Ok(answer));
+                let mut answer = worded(Ok(over?));
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return Ok(answer);
             }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -11,8 +11,8 @@
 /// refused.
 ///
 /// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON); LB_LISTEN, LB_DISCOVERY
-/// and LB_ADMIN overrule three of its keys, and LB_LISTEN_FD names a listening socket to take over. SIGTERM ends it gently; SIGHUP moves it to where the configuration names
-/// discovery now.
+/// and LB_ADMIN overrule three of its keys, and LB_LISTEN_FD names a listening socket to take over. SIGTERM ends it gently;
+/// SIGHUP moves it to where the configuration names discovery now.
 #[derive(Parser)]
 #[command(name = "dilljunction", version, args_conflicts_with_subcommands = true)]
 struct Arguments {
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -123,12 +123,10 @@
 /// A long answer that has begun.
 struct Begun {
     content_type: Option<HeaderValue>,
-    report: Option<Vec<f64>>,
-    /// What has come of it.
+    /// What has come of it, and the memory for that.
     first: Bytes,
-    rest: Incoming,
-    /// Memory for it, if some was taken already.
     portion: Option<Portion>,
+    rest: Incoming,
 }
 
 /// How far an attempt has come.
@@ -226,16 +224,13 @@
                     self.pool.give_back(place, lease);
                     return ended;
                 }
-                Ok(Reply::Long(Begun { content_type, report, first, rest, portion })) => {
+                Ok(Reply::Long(Begun { content_type, first, portion, rest })) => {
                     // With no memory left it waits for those before it, within its attempt's time.
-                    let portion = match portion {
-                        Some(portion) => portion,
-                        None => self.bodies.take_when_free(LONG_BYTES).await,
-                    };
+                    let portions = (portion, self.bodies.take_when_free(LONG_BYTES).await);
                     progress.0.set(Stage::Passing);
                     let began = Some(Instant::now());
                     view.allow(LONG_MOST);
-                    let (passing, passed) = Passing::new(first, rest, lease, portion);
+                    let (passing, passed) = Passing::new(first, rest, lease, portions);
                     let body = ServedBody::Passing(passing);
                     let outcome = if !owner.begin(Served { body, content_type }) {
                         Outcome::Cancelled
@@ -249,7 +244,8 @@
                             Err(_) => Outcome::Cancelled,
                         }
                     };
-                    return Ended { outcome, report, served: None, began };
+                    // Its report is as old as its head: to the module it would look like news.
+                    return Ended { outcome, report: None, served: None, began };
                 }
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
@@ -301,11 +297,11 @@
         let is_long = framing.is_some_and(|length| length > SHORT_MOST as u64);
         if is_long && outcome == Outcome::Success {
             let (first, portion) = (Bytes::new(), None);
-            return Ok(Reply::Long(Begun { content_type, report, first, rest: body, portion }));
+            return Ok(Reply::Long(Begun { content_type, first, portion, rest: body }));
         }
         let short = framing.map_or(SHORT_MOST, |length| SHORT_MOST.min(length as usize));
         let portion = self.bodies.take(short).ok_or(Spoilt::Answer)?;
-        let mut first = BytesMut::new();
+        let mut first = BytesMut::with_capacity(framing.map_or(0, |_| short));
         let whole = async {
             while let Some(frame) = body.frame().await {
                 let Ok(data) = frame.map_err(|_| Spoilt::Answer)?.into_data() else { continue };
@@ -328,7 +324,7 @@
                 Ok(Reply::Whole(Ended { outcome, report, served, began: None }))
             }
             (false, Outcome::Success) => {
-                Ok(Reply::Long(Begun { content_type, report, first, rest: body, portion: Some(portion) }))
+                Ok(Reply::Long(Begun { content_type, first, portion: Some(portion), rest: body }))
             }
             // What a refusal or an error has to say at such length is not waited for.
             (false, _) => Err(Spoilt::Answer),
@@ -450,7 +446,7 @@
 mod tests {
     use super::*;
     use ryelead::ServerId;
-    use tokio::io::AsyncReadExt;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
@@ -500,6 +496,56 @@
         backends.attempt(place, &post(body), until, &progress, &Asked(may_send)).await.outcome
     }
 
+    /// Takes a long answer as a client does, whole.
+    struct Reader;
+
+    impl Owner for Reader {
+        fn may_send(&self) -> bool {
+            true
+        }
+
+        fn bind(&self) {}
+
+        fn begin(&self, served: Served) -> bool {
+            if let ServedBody::Passing(passing) = served.body {
+                tokio::task::spawn_local(passing.collect());
+            }
+            true
+        }
+    }
+
+    /// The report of a long answer is as old as its head when the answer ends, and would pass for news.
+    #[tokio::test]
+    async fn a_long_answer_brings_no_report() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let place = Place { server: ServerId(0), address, life: 0 };
+        let until = Instant::now() + Duration::from_secs(60);
+        for (length, report) in [(10, Some(vec![4.0])), (SHORT_MOST + 1, None)] {
+            let second = Duration::from_secs(1);
+            let backends = of(Pool::new(4, second, second), &["queue"]);
+            let (call, progress) = (post(9), Progress::default());
+            let peer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut seen = 0;
+                while seen < call.least_bytes() as usize {
+                    seen += stream.read(&mut [0; 4096]).await.unwrap();
+                }
+                let head =
+                    format!("HTTP/1.1 200 OK\r\nX-Load-Report: queue=4\r\nContent-Length: {length}\r\n\r\n");
+                stream.write_all(&[head.as_bytes(), &vec![7; length]].concat()).await.unwrap();
+                stream
+            };
+            let both =
+                async { tokio::join!(backends.attempt(place, &call, until, &progress, &Reader), peer) };
+            let (ended, _) = LocalSet::new().run_until(both).await;
+            assert_eq!(
+                (ended.outcome, ended.report, ended.began.is_some()),
+                (Outcome::Success, report, length > 10)
+            );
+        }
+    }
+
     /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
     #[tokio::test]
     async fn past_the_cap_nothing_is_sent() {
--- a/agent/src/upstream/passing.rs
+++ b/agent/src/upstream/passing.rs
@@ -21,8 +21,8 @@
 /// The longest answer, and request, that is carried.
 pub const BODY_MOST: u64 = 32 * 1024 * 1024;
 /// What a long answer or request holds at most beside its client's connection: the buffers of hyper on both sides, and the
-/// server's connection; by measurement 50 to 60 KiB.
-pub const LONG_BYTES: usize = 64 * 1024;
+/// server's connection; by measurement 50 to 66 KiB.
+pub const LONG_BYTES: usize = 72 * 1024;
 /// A backend that gives nothing of a long answer for so long, while its client waits, gives no more.
 const STALL: Duration = Duration::from_secs(5);
 
@@ -46,7 +46,8 @@
     awaited: bool,
     /// Gone once the end has been told. Dropped before that, the client has gone, and the connection with it.
     end: Option<(Lease, oneshot::Sender<Passed>)>,
-    _portion: Portion,
+    /// For what has been read already, and for the rest.
+    _portions: (Option<Portion>, Portion),
 }
 
 impl Passing {
@@ -56,14 +57,22 @@
         first: Bytes,
         body: Incoming,
         lease: Lease,
-        portion: Portion,
+        portions: (Option<Portion>, Portion),
     ) -> (Passing, oneshot::Receiver<Passed>) {
         let (told, end) = oneshot::channel();
         let left = BODY_MOST.saturating_sub(first.len() as u64);
         let first = Some(first).filter(|first| !first.is_empty());
         let stall = Box::pin(sleep(STALL));
         (
-            Passing { first, body, left, stall, awaited: false, end: Some((lease, told)), _portion: portion },
+            Passing {
+                first,
+                body,
+                left,
+                stall,
+                awaited: false,
+                end: Some((lease, told)),
+                _portions: portions,
+            },
             end,
         )
     }
--- a/agent/tests/loopback/operators.rs
+++ b/agent/tests/loopback/operators.rs
@@ -38,6 +38,9 @@
     assert_eq!((wrong.status(), wrong.header("Allow")), (405, Some("POST")));
     assert_eq!(call(admin, "no call at all"), 400);
     assert_eq!(call(admin, &format!("GET /{}", "x".repeat(7000))), 404);
+    let mut over = Client::at(admin);
+    over.write(&format!("GET /{}", "x".repeat(8 * 1024 - 5)));
+    assert_eq!(over.read().map(|answer| answer.status()), Some(431));
     let mut long = Client::at(admin);
     let _ = std::io::Write::write_all(&mut long.stream, &[b'x'; 100_000]);
     assert!(long.read().is_none_or(|answer| (400..500).contains(&answer.status())));
@@ -61,6 +64,15 @@
         silent.push(client);
     }
     assert_eq!(call(admin, "GET /healthcheck"), 200);
+    // Whoever was answered came last, so that all but a full house have made room.
+    let stay = |client: &&mut Client| {
+        client.stream.set_nonblocking(true).expect("a socket");
+        let end = std::io::Read::read(&mut &client.stream, &mut [0; 1]);
+        client.stream.set_nonblocking(false).expect("a socket");
+        end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    let stayed = silent.iter_mut().filter(stay).count();
+    assert!(stayed <= 16, "{stayed} hold their descriptors");
     for client in &mut silent {
         assert!(client.ends(), "nobody stays for ever");
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -183,7 +183,7 @@
 }
 
 struct Suspicion {
-    /// Never, while one is out.
+    /// Never, while one is out; a request that is still coming may take long.
     next_trial: Time,
     pause: Span,
 }
@@ -680,7 +680,7 @@
         self.hearsay.send(now);
         let trial = [WHOLE, class + 1].into_iter().find(|&r| s.records[r].suspicion.is_some());
         if let Some(q) = trial.and_then(|r| s.records[r].suspicion.as_mut()) {
-            q.next_trial = Time(u64::MAX);
+            q.next_trial = if stage == Stage::Out { Time(u64::MAX) } else { now + q.pause };
             self.trials -= 1.0;
         }
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false, stage });
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -111,6 +111,41 @@
     assert!(ask(&mut rig, 51), "and leave it free");
 }
 
+/// A suspect is tried by what has an answer soon: a slow client must not keep it out for as long as it sends.
+#[test]
+fn a_request_that_comes_slowly_does_not_keep_a_suspect_out() {
+    let mut rig = Rig::new(Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() }, 3);
+    rig.list(fleet(3, 1, 1));
+    let suspect = ServerId(0);
+    let mut logged = false;
+    for _ in 0..60 {
+        let (id, sent) = rig.ask(0);
+        let outcome = if sent == Some(suspect) { Outcome::ConnectFailed } else { Outcome::Success };
+        rig.answer(id, 0, outcome, 10.0);
+        logged |= rig.actions.iter().any(|a| matches!(a, Action::Log { .. }));
+        if logged {
+            break;
+        }
+    }
+    assert!(logged, "server 0 is suspect");
+    // One slow upload after the other, until one is the suspect's trial; none of them ever ends.
+    let uploads: Vec<RequestId> = (0..400).map(|n| RequestId(7000 + n)).collect();
+    let tried = uploads.into_iter().any(|id| {
+        rig.wait(Span::from_ms(20.0));
+        let left = Span::from_ms(800.0);
+        rig.tell(Event::Request(Request { coming: true, ..Request::new(id, ClassId(0), left) }));
+        rig.sent_to(id) == Some(suspect)
+    });
+    assert!(tried, "an upload is its trial");
+    let again = (0..2000).any(|_| {
+        rig.wait(Span::from_ms(20.0));
+        let (id, sent) = rig.ask(0);
+        rig.answer(id, 0, Outcome::Success, 10.0);
+        sent == Some(suspect)
+    });
+    assert!(again, "it is tried again though the upload has not ended");
+}
+
 /// A part of the request has gone and is not kept: no other attempt can have it whole, even where none of it ran.
 #[test]
 fn a_bound_request_is_not_sent_again() {
