--- a/agent/src/fronts/plain/reply.rs
+++ b/agent/src/fronts/plain/reply.rs
@@ -16,7 +16,7 @@
     /// All of it, with the memory that it holds.
     Short { body: Full<Bytes>, _portion: Option<Portion> },
     /// As it comes; its connection is at work until it has ended.
-    Long(Passing, Option<Answering>),
+    Long(Box<Passing>, Option<Answering>),
 }
 
 impl Reply {
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -80,7 +80,7 @@
     /// All of it, and the memory that it holds.
     Whole(Bytes, Portion),
     /// As it comes.
-    Passing(Passing),
+    Passing(Box<Passing>),
 }
 
 /// How an attempt or a probe ended.
@@ -231,7 +231,7 @@
                     let began = Some(Instant::now());
                     view.allow(LONG_MOST);
                     let (passing, passed) = Passing::new(first, rest, lease, portions);
-                    let body = ServedBody::Passing(passing);
+                    let body = ServedBody::Passing(Box::new(passing));
                     let outcome = if !owner.begin(Served { body, content_type }) {
                         Outcome::Cancelled
                     } else {
