Call the servers' file servers.rs: from here on a fleet is the agents

Need: the agents are about to keep a view of one another, and the words fleet and member are theirs; the file and type named fleet hold booking servers.

No behaviour changes.

Checked: the agent's library tests (33) and lints pass.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -1,10 +1,10 @@
 //! Owns the balancer: turns what happens on sockets into events, and actions into work on sockets.
 
 use crate::clock::Clock;
-use crate::fleet::Fleet;
 use crate::list::{Commands, ListReply};
 use crate::log::log;
 use crate::requests::{Answer, Arrival, Departure, Requests};
+use crate::servers::Servers;
 use crate::tally::{Count, Tally};
 use crate::timers::Timers;
 use crate::upstream::backend::{Backends, Call, Ended, Owner, Progress, Served, Stage};
@@ -28,7 +28,7 @@
 struct Core {
     balancer: Balancer,
     requests: Requests,
-    fleet: Fleet,
+    servers: Servers,
 }
 
 struct Inner {
@@ -55,16 +55,16 @@
         commands: Rc<Commands>,
     ) -> Result<Driver, String> {
         let max_attempts = settings.max_attempts;
-        let fleet = Fleet::new(names.0, names.1, Duration::from_micros(settings.drain_grace.0));
+        let servers = Servers::new(names.0, names.1, Duration::from_micros(settings.drain_grace.0));
         let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
-        let core = RefCell::new(Core { balancer, requests: Requests::default(), fleet });
+        let core = RefCell::new(Core { balancer, requests: Requests::default(), servers });
         let (clock, timers) = (Clock::new(), Timers::default());
         let driver = Driver(Rc::new(Inner { clock, core, timers, backends, commands, max_attempts }));
         let mut actions = Vec::new();
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
         if let Some(known) = known {
-            let lines = driver.0.core.borrow_mut().fleet.take_list(true, &known.targets, driver.pool());
+            let lines = driver.0.core.borrow_mut().servers.take_list(true, &known.targets, driver.pool());
             driver.tell(Event::List(ListUpdate::Saved(lines)));
         }
         Ok(driver)
@@ -77,8 +77,8 @@
                 sleep(RETIRE_EVERY).await;
                 let core = &mut *self.0.core.borrow_mut();
                 // A connection that was at work when its server was told to drain, moved or left comes back after.
-                self.pool().retire(|server, life| core.fleet.is_current(server, life));
-                core.fleet.forget_left();
+                self.pool().retire(|server, life| core.servers.is_current(server, life));
+                core.servers.forget_left();
             }
         };
         tokio::join!(self.run_timers(), retire);
@@ -101,7 +101,7 @@
 
     /// True if there is a server to send to.
     pub fn can_decide(&self) -> bool {
-        self.0.core.borrow().fleet.is_serving()
+        self.0.core.borrow().servers.is_serving()
     }
 
     /// Where what the agent does is counted.
@@ -114,7 +114,7 @@
         let levels = || {
             let (open, idle) = self.pool().levels();
             let core = self.0.core.borrow();
-            vec![("open", open), ("idle", idle), ("serving", core.fleet.serving())]
+            vec![("open", open), ("idle", idle), ("serving", core.servers.serving())]
         };
         self.tally().clone().tell(period, levels).await;
     }
@@ -245,7 +245,7 @@
         let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
         // The time of a long request begins with its last byte.
         let in_time = call.upload.is_some() || until > now;
-        let place = if lawful && in_time { core.fleet.enter(server) } else { None };
+        let place = if lawful && in_time { core.servers.enter(server) } else { None };
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = match place {
@@ -286,17 +286,17 @@
 
     /// For a drain a send counts from its first byte, which a wait for a connection may put off.
     fn may_send(&self, server: ServerId) -> bool {
-        self.0.core.borrow().fleet.may_send(server)
+        self.0.core.borrow().servers.may_send(server)
     }
 
     /// An attempt or a probe is no longer out.
     fn leave(&self, server: ServerId) {
-        self.0.core.borrow_mut().fleet.leave(server);
+        self.0.core.borrow_mut().servers.leave(server);
     }
 
     fn probe(&self, server: ServerId) {
         self.tally().count(Count::Probe);
-        let place = self.0.core.borrow_mut().fleet.enter(server);
+        let place = self.0.core.borrow_mut().servers.enter(server);
         let (driver, sent) = (self.clone(), Instant::now());
         tokio::task::spawn_local(async move {
             let ended = match place {
@@ -321,7 +321,7 @@
     /// A source has told something.
     pub fn listed(&self, reply: ListReply) {
         self.tally().add(Count::ListLine, reply.targets.len());
-        let lines = self.0.core.borrow_mut().fleet.take_list(reply.all, &reply.targets, self.pool());
+        let lines = self.0.core.borrow_mut().servers.take_list(reply.all, &reply.targets, self.pool());
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
     }
@@ -469,9 +469,9 @@
                 );
                 driver.listed(serde_json::from_str(&list).unwrap());
                 tokio::time::advance(Duration::from_secs(1)).await;
-                let fleet = &mut driver.0.core.borrow_mut().fleet;
-                fleet.forget_left();
-                let (ids, records) = fleet.known();
+                let servers = &mut driver.0.core.borrow_mut().servers;
+                servers.forget_left();
+                let (ids, records) = servers.known();
                 assert!(records <= 4, "{records} are kept");
                 assert_eq!(ids.len(), records);
                 assert!(numbers.insert(ids[&format!("s{n}")]), "a number is given twice");
--- a/agent/src/fleet.rs
+++ b/agent/src/servers.rs
@@ -44,7 +44,7 @@
 }
 
 /// All servers that the list has named and that have not left for good.
-pub struct Fleet {
+pub struct Servers {
     servers: HashMap<ServerId, Server>,
     ids: HashMap<String, ServerId>,
     /// No number is given twice, so that nothing of a server that has left falls to another.
@@ -54,11 +54,11 @@
     drain_grace: Duration,
 }
 
-impl Fleet {
+impl Servers {
     /// Nobody yet; the names of zones and kinds are the settings'.
     pub fn new(zones: &[String], kinds: &[String], drain_grace: Duration) -> Self {
         let (zones, kinds) = (Numbers::new(zones), Numbers::new(kinds));
-        Fleet { servers: HashMap::new(), ids: HashMap::new(), next_server: 0, zones, kinds, drain_grace }
+        Servers { servers: HashMap::new(), ids: HashMap::new(), next_server: 0, zones, kinds, drain_grace }
     }
 
     /// True if there is a server to send to.
@@ -170,7 +170,7 @@
 }
 
 #[cfg(test)]
-impl Fleet {
+impl Servers {
     /// The numbers of the servers that are known, and how many records there are of them.
     pub fn known(&self) -> (&HashMap<String, ServerId>, usize) {
         (&self.ids, self.servers.len())
