--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -9,7 +9,8 @@
 use crate::fronts::plain::server::Server;
 use crate::lifecycle::LifeCycle;
 use crate::list::Commands;
-use crate::log::log;
+use crate::log::{log, log_events};
+use crate::peers::Peers;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
 use crate::upstream::pool::Pool;
@@ -52,6 +53,8 @@
     admin: Option<SocketAddr>,
     clients: Rc<Clients>,
     commands: Rc<Commands>,
+    /// The other agents, and whether another process of this one goes on with the address.
+    peers: Option<(Rc<Peers>, bool)>,
     _tasks: Vec<Task>,
 }
 
@@ -84,7 +87,8 @@
         let version = config.known.as_ref().map_or(0, |list| list.rev);
         let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
         let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-        let life = LifeCycle::new(config.listener.is_some(), longest);
+        let inherited = config.listener.is_some();
+        let life = LifeCycle::new(inherited, longest);
         let clients = Rc::new(Clients::new(life, driver.clone()));
         let room = (config.client_connections, config.client_crowd);
         let server = Server::new(driver.clone(), Rc::clone(&clients), catalogue, room);
@@ -94,7 +98,7 @@
         });
         let mut tasks = vec![
             task(driver.clone().run()),
-            task(platform::run(driver, Rc::clone(&commands), version, pushed)),
+            task(platform::run(driver.clone(), Rc::clone(&commands), version, pushed)),
             task(Rc::clone(&server).sweep()),
         ];
         tasks.extend(tally);
@@ -103,13 +107,24 @@
             None => listen(config.listen).await?,
         };
         let address = listener.local_addr().map_err(|e| e.to_string())?;
+        let mut peers = None;
+        if let Some(config) = config.peers {
+            log_events(config.json());
+            let (started, run) = Peers::start(config, driver, inherited).await?;
+            tasks.push(task(run));
+            peers = Some((started, inherited));
+        }
         let mut admin = None;
         if let Some(at) = config.admin {
             let door = listen(at).await.map_err(|e| format!("admin: {e}"))?;
             admin = door.local_addr().ok();
-            tasks.push(task(admin::run(door, Rc::clone(&clients))));
+            tasks.push(task(admin::run(
+                door,
+                Rc::clone(&clients),
+                peers.as_ref().map(|(peers, _)| Rc::clone(peers)),
+            )));
         }
-        Ok(Agent { server, listener, address, admin, clients, commands, _tasks: tasks })
+        Ok(Agent { server, listener, address, admin, clients, commands, peers, _tasks: tasks })
     }
 
     /// Where clients connect.
@@ -135,7 +150,7 @@
     /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed (1.4 s where
     /// the platform holds the socket), and 0.3 s over the longest deadline of a class at the latest.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
-        let Agent { server, listener, clients, _tasks, .. } = self;
+        let Agent { server, listener, clients, peers, _tasks, .. } = self;
         let mut listener = Some(listener);
         let mut stop = pin!(stop);
         let mut stopped = false;
@@ -154,6 +169,9 @@
                 () = clients.changed() => {}
                 () = stop.as_mut(), if !stopped => {
                     clients.stop();
+                    if let Some((peers, handed_over)) = &peers {
+                        peers.stop(*handed_over);
+                    }
                     stopped = true;
                 }
                 () = sleep(END_EVERY), if listener.is_none() => {}
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -3,6 +3,7 @@
 use crate::fault::Fault;
 use crate::inherit;
 use crate::list::ListReply;
+use crate::peers::{PeerWords, PeersConfig};
 use crate::switches::{read_bounded, Switches};
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
@@ -40,6 +41,12 @@
     #[serde(default)]
     seed: Option<serde_json::Value>,
     #[serde(default)]
+    name: String,
+    #[serde(default)]
+    peer_listen: Option<serde_json::Value>,
+    #[serde(default)]
+    peers: Option<serde_json::Value>,
+    #[serde(default)]
     limits: Limits,
     #[serde(default)]
     known: Option<ListReply>,
@@ -53,12 +60,13 @@
     memory_mb: Option<f64>,
 }
 
-/// Addresses that overrule those of the file.
+/// What overrules the file.
 #[derive(Default)]
-struct Addresses {
+struct Words {
     listen: Option<String>,
     discovery: Option<String>,
     admin: Option<String>,
+    name: Option<String>,
 }
 
 /// All that the agent is told.
@@ -83,6 +91,8 @@
     pub body_bytes: usize,
     /// How often a line counts what the agent does, if it does.
     pub tally_every: Option<Duration>,
+    /// The other agents, where a file switches them on.
+    pub peers: Option<PeersConfig>,
     /// The list as this agent last had it.
     pub known: Option<ListReply>,
     /// The settings object.
@@ -90,15 +100,19 @@
 }
 
 impl Config {
-    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY` and `LB_ADMIN` overrule what it says. Takes over
+    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY`, `LB_ADMIN` and `LB_NAME` overrule what it says. Takes over
     /// the socket that `LB_LISTEN_FD` names, if it does.
     pub fn from_env(switches: Switches) -> Result<Config, Fault> {
         let path = var("LB_CONFIG")
             .ok_or_else(|| Fault::of_all("LB_CONFIG is not set; it must name the configuration file"))?;
         let of_file = |fault: Fault| fault.in_file(&path);
         let file = read(Path::new(&path)).map_err(of_file)?;
-        let over =
-            Addresses { listen: var("LB_LISTEN"), discovery: var("LB_DISCOVERY"), admin: var("LB_ADMIN") };
+        let over = Words {
+            listen: var("LB_LISTEN"),
+            discovery: var("LB_DISCOVERY"),
+            admin: var("LB_ADMIN"),
+            name: var("LB_NAME"),
+        };
         let config = Config::new(file, switches, over).map_err(of_file)?;
         let listener = inherit::listener(config.listen)?;
         Ok(Config { listener, ..config })
@@ -107,13 +121,13 @@
     /// Reads a configuration file as if `LB_CONFIG` named it.
     pub fn read(path: &Path, switches: Switches) -> Result<Config, Fault> {
         read(path)
-            .and_then(|file| Config::new(file, switches, Addresses::default()))
+            .and_then(|file| Config::new(file, switches, Words::default()))
             .map_err(|fault| fault.in_file(path))
     }
 
     /// Reads the text of a configuration file.
     pub fn parse(text: &[u8], switches: Switches) -> Result<Config, Fault> {
-        Config::new(parse(text)?, switches, Addresses::default())
+        Config::new(parse(text)?, switches, Words::default())
     }
 
     /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
@@ -130,7 +144,7 @@
             .map_err(|fault| fault.in_file(&path))
     }
 
-    fn new(file: File, switches: Switches, over: Addresses) -> Result<Config, Fault> {
+    fn new(file: File, switches: Switches, over: Words) -> Result<Config, Fault> {
         file.settings.settings().validate().map_err(|e| Fault::of_key("settings", e.to_string()))?;
         if file.settings.class_names().iter().any(String::is_empty) {
             return Err(Fault::of_key("settings.classes", "a request class has no name"));
@@ -145,6 +159,17 @@
         let memory = memory - OWN_BYTES;
         let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
         let tally_every = switches.tally.map(|tally| Duration::from_millis(tally.every_ms));
+        let seed = file.seed.map_or(0, |seed| seed_number(&seed));
+        let words = PeerWords {
+            allowed: file.settings.settings().peers,
+            number: file.settings.number(),
+            name: over.name.unwrap_or(file.name),
+            listen: file.peer_listen,
+            peers: file.peers,
+            seed,
+        };
+        let peers =
+            switches.fleet.map(|fleet| PeersConfig::new(words, &fleet, switches.trial)).transpose()?;
         let own = switches.limits.unwrap_or_default();
         let client_connections = own.client_connections.unwrap_or(clients.min(usable / 2));
         let backend_connections = own.server_connections.unwrap_or(usable - usable / 2);
@@ -176,12 +201,13 @@
             listener: None,
             admin,
             discovery: address("discovery", over.discovery.or(file.discovery))?,
-            seed: file.seed.map_or(0, |seed| seed_number(&seed)),
+            seed,
             client_connections,
             client_crowd: crowd,
             backend_connections,
             body_bytes: bodies.unwrap_or((memory * BODIES_SHARE) as usize),
             tally_every,
+            peers,
             known: file.known,
             settings: file.settings,
         })
@@ -247,7 +273,7 @@
         let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
         assert!(held <= 0.65 * 26.0 * 1024.0 * 1024.0 && small.client_connections > 200);
         let file = super::parse(text.as_bytes()).expect("readable");
-        let over = Addresses { listen: Some("127.0.0.2:90".into()), ..Addresses::default() };
+        let over = Words { listen: Some("127.0.0.2:90".into()), ..Words::default() };
         let over = Config::new(file, Switches::default(), over).expect("usable");
         assert_eq!(over.listen.to_string(), "127.0.0.2:90");
     }
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -38,6 +38,8 @@
     backends: Rc<Backends>,
     commands: Rc<Commands>,
     max_attempts: u32,
+    /// The settings' number of agents.
+    balancers: u32,
 }
 
 /// A handle to the balancer and all that belongs to it.
@@ -54,12 +56,13 @@
         backends: Rc<Backends>,
         commands: Rc<Commands>,
     ) -> Result<Driver, String> {
-        let max_attempts = settings.max_attempts;
+        let (max_attempts, balancers) = (settings.max_attempts, settings.balancers);
         let servers = Servers::new(names.0, names.1, Duration::from_micros(settings.drain_grace.0));
         let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         let core = RefCell::new(Core { balancer, requests: Requests::default(), servers });
         let (clock, timers) = (Clock::new(), Timers::default());
-        let driver = Driver(Rc::new(Inner { clock, core, timers, backends, commands, max_attempts }));
+        let driver =
+            Driver(Rc::new(Inner { clock, core, timers, backends, commands, max_attempts, balancers }));
         let mut actions = Vec::new();
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
@@ -326,6 +329,13 @@
         self.tell(Event::List(update));
     }
 
+    // ---- the fleet ----------------------------------------------------------------------------------
+
+    /// So many agents share the servers; `None` if nobody can say, and the settings' number holds.
+    pub fn balancers(&self, number: Option<u32>) {
+        self.tell(Event::Balancers(number.unwrap_or(self.0.balancers)));
+    }
+
     /// A call to a source has failed.
     pub fn list_failed(&self) {
         self.tell(Event::List(ListUpdate::Failed));
--- a/agent/src/fronts/admin.rs
+++ b/agent/src/fronts/admin.rs
@@ -3,10 +3,11 @@
 
 use crate::clients::Clients;
 use crate::log::log;
+use crate::peers::Peers;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -40,7 +41,7 @@
 }
 
 /// Answers calls until dropped.
-pub async fn run(listener: TcpListener, clients: Rc<Clients>) {
+pub async fn run(listener: TcpListener, clients: Rc<Clients>, peers: Option<Rc<Peers>>) {
     let mut callers: VecDeque<Caller> = VecDeque::new();
     loop {
         callers.retain(|caller| !caller.task.is_finished());
@@ -50,7 +51,7 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let call = timeout(CALL_WAIT, converse(stream, Rc::clone(&clients)));
+                let call = timeout(CALL_WAIT, converse(stream, Rc::clone(&clients), peers.clone()));
                 let task = spawn_local(async move {
                     let _ = call.await;
                 });
@@ -74,12 +75,12 @@
     yield_now().await;
 }
 
-async fn converse(stream: TcpStream, clients: Rc<Clients>) {
+async fn converse(stream: TcpStream, clients: Rc<Clients>, peers: Option<Rc<Peers>>) {
     let service = service_fn(|request: Request<Incoming>| {
-        let clients = Rc::clone(&clients);
+        let (clients, peers) = (Rc::clone(&clients), peers.clone());
         async move {
             let (head, body) = request.into_parts();
-            let answer = answer(&clients, &head.method, head.uri.path());
+            let answer = answer(&clients, peers.as_deref(), &head.method, head.uri.path());
             discard(body).await;
             Ok::<_, Infallible>(answer)
         }
@@ -100,9 +101,13 @@
     let _ = timeout(BODY_WAIT, all).await;
 }
 
-fn answer(clients: &Clients, method: &Method, path: &str) -> Response<Full<Bytes>> {
+fn answer(clients: &Clients, peers: Option<&Peers>, method: &Method, path: &str) -> Response<Full<Bytes>> {
     let allowed = match path {
         "/healthcheck" => Method::GET,
+        "/fleet" if peers.is_some() => Method::GET,
+        "/fleet" => {
+            return said(StatusCode::NOT_FOUND, "this agent keeps no view of the fleet: [fleet] is off")
+        }
         "/healthcheck/fail" | "/healthcheck/ok" => Method::POST,
         _ => return said(StatusCode::NOT_FOUND, "no such call"),
     };
@@ -113,6 +118,9 @@
         return answer;
     }
     match path {
+        "/fleet" => {
+            return peers.map_or_else(|| said(StatusCode::NOT_FOUND, ""), |peers| shown(&peers.describe()))
+        }
         "/healthcheck/fail" => clients.fail(),
         "/healthcheck/ok" if clients.ok().is_err() => return said(StatusCode::CONFLICT, "stopping"),
         _ => {}
@@ -124,6 +132,12 @@
     said(status, clients.phase().name())
 }
 
+fn shown(value: &serde_json::Value) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(value.to_string())));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 fn said(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 mod agent;
+mod allowance;
 mod budget;
 mod clients;
 mod clock;
@@ -32,6 +33,8 @@
 mod lifecycle;
 mod list;
 mod log;
+pub mod operators;
+mod peers;
 mod requests;
 mod servers;
 mod sources;
@@ -44,5 +47,5 @@
 pub use agent::Agent;
 pub use config::Config;
 pub use fault::Fault;
-pub use log::log;
-pub use switches::{LimitsTable, Switches, TallyTable};
+pub use log::{log, log_events};
+pub use switches::{FleetTable, LimitsTable, Switches, TallyTable, TrialTable};
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,7 +1,9 @@
 //! The program: a command line round [`dilljunction_agent`].
 
 use clap::{Parser, Subcommand};
+use dilljunction_agent::operators::{self, FleetView};
 use dilljunction_agent::{log, Agent, Config, Switches};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -10,8 +12,8 @@
 /// A load balancer beside its client: it decides which server gets a request, whether it is tried again, and when it is
 /// refused.
 ///
-/// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON); LB_LISTEN, LB_DISCOVERY
-/// and LB_ADMIN overrule three of its keys, and LB_LISTEN_FD names a listening socket to take over. SIGTERM ends it gently;
+/// With no argument it runs as the platform starts it: LB_CONFIG names its configuration (JSON); LB_LISTEN, LB_DISCOVERY,
+/// LB_ADMIN and LB_NAME overrule four of its keys, and LB_LISTEN_FD names a listening socket to take over. SIGTERM ends it gently;
 /// SIGHUP moves it to where the configuration names discovery now.
 #[derive(Parser)]
 #[command(name = "dilljunction", version, args_conflicts_with_subcommands = true)]
@@ -19,6 +21,9 @@
     /// Switch on what a file under deploy/ names (TOML); may be repeated
     #[arg(long = "with", value_name = "FILE")]
     with: Vec<PathBuf>,
+    /// Allow a table [trial], which makes this agent's clocks wrong for tests
+    #[arg(long)]
+    trial: bool,
     #[command(subcommand)]
     command: Option<Task>,
 }
@@ -31,17 +36,38 @@
         #[arg(required = true, value_name = "FILE")]
         files: Vec<PathBuf>,
     },
+    /// What an agent that runs with deploy/fleet.toml knows of the others
+    Fleet {
+        #[command(subcommand)]
+        what: FleetTask,
+    },
+}
+
+#[derive(Subcommand)]
+enum FleetTask {
+    /// Its view: who is there, in which life, who is gone, and whether it is sure
+    Show {
+        /// The agent's operators' address
+        #[arg(long, value_name = "ADDR")]
+        admin: SocketAddr,
+        /// As the agent words it, for programs
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if let Some(Task::Check { files }) = arguments.command {
-        return check(&files);
+    if let Some(Task::Check { files }) = &arguments.command {
+        return check(files);
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let end = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run(&arguments.with)),
-        Err(e) => Err(format!("cannot start the runtime: {e}")),
+    let end = match (runtime, arguments.command) {
+        (Ok(runtime), Some(Task::Fleet { what: FleetTask::Show { admin, json } })) => {
+            runtime.block_on(show(admin, json))
+        }
+        (Ok(runtime), _) => LocalSet::new().block_on(&runtime, run(&arguments.with, arguments.trial)),
+        (Err(e), _) => Err(format!("cannot start the runtime: {e}")),
     };
     match end {
         Ok(()) => ExitCode::SUCCESS,
@@ -52,6 +78,16 @@
     }
 }
 
+async fn show(admin: SocketAddr, json: bool) -> Result<(), String> {
+    let answer = operators::ask(admin, "/fleet").await?;
+    if json {
+        println!("{}", String::from_utf8_lossy(&answer));
+    } else {
+        print!("{}", FleetView::parse(&answer).map_err(|e| format!("{admin}: {e}"))?.table());
+    }
+    Ok(())
+}
+
 fn check(files: &[PathBuf]) -> ExitCode {
     let mut usable = true;
     let is_switch = |file: &Path| file.extension().is_some_and(|e| e == "toml");
@@ -93,7 +129,7 @@
 }
 
 /// Moves to where the configuration names discovery, at each signal.
-async fn reload(mut hangup: Signal, move_to: impl Fn(std::net::SocketAddr)) {
+async fn reload(mut hangup: Signal, move_to: impl Fn(SocketAddr)) {
     while hangup.recv().await.is_some() {
         match Config::reread_discovery() {
             Ok(source) => move_to(source),
@@ -102,11 +138,14 @@
     }
 }
 
-async fn run(with: &[PathBuf]) -> Result<(), String> {
+async fn run(with: &[PathBuf], trial: bool) -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
     let switches = Switches::read_all(with).map_err(|fault| fault.to_string())?;
+    if switches.trial.is_some() && !trial {
+        return Err("trial: this table makes the agent's clocks wrong; only --trial allows it".into());
+    }
     let config = Config::from_env(switches).map_err(|fault| fault.to_string())?;
     let agent = Agent::start(config).await?;
     spawn_local(reload(hangup, agent.mover()));
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -13,6 +13,9 @@
 const MEMORY_MOST: u32 = 1024 * 1024;
 /// How far apart the lines of a tally may be: ten a second of all lines are let through, and a day has an end.
 const TALLY_EVERY_MS: std::ops::RangeInclusive<u64> = 200..=600_000;
+/// How fast a clock on trial may run, and how wrong a wall clock may be: a year.
+const TRIAL_RATES: std::ops::RangeInclusive<f64> = 0.5..=2.0;
+const TRIAL_STEP_MOST_MS: u64 = 366 * 86_400_000;
 
 /// What the files switch on.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -22,6 +25,41 @@
     pub limits: Option<LimitsTable>,
     /// `[tally]`, see `deploy/tally.toml`.
     pub tally: Option<TallyTable>,
+    /// `[fleet]`, see `deploy/fleet.toml`.
+    pub fleet: Option<FleetTable>,
+    /// `[trial]`: not for service, and refused without `--trial`.
+    pub trial: Option<TrialTable>,
+}
+
+/// The agents keep a view of one another.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetTable {
+    /// Whether event lines are JSON, for programs, and not text.
+    #[serde(default)]
+    pub json: bool,
+}
+
+/// What tests of many processes make wrong with one of them. All of the cluster's time goes through one clock; this is it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct TrialTable {
+    /// How fast its monotonic clock runs, 0.5 to 2; 1 is right.
+    pub clock_rate: f64,
+    /// By how many milliseconds its wall clock is wrong, a year at most.
+    pub wall_step_ms: i64,
+}
+
+impl Default for TrialTable {
+    fn default() -> Self {
+        TrialTable { clock_rate: 1.0, wall_step_ms: 0 }
+    }
+}
+
+impl std::fmt::Display for TrialTable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the clock runs at {} and the wall clock is {} ms off", self.clock_rate, self.wall_step_ms)
+    }
 }
 
 /// Lines that count what the agent does.
@@ -78,7 +116,18 @@
         if self.tally.is_some() && other.tally.is_some() {
             return Err(Fault::of_key("tally", "this table stands in an earlier file too"));
         }
-        Ok(Switches { limits: self.limits.or(other.limits), tally: self.tally.or(other.tally) })
+        if self.fleet.is_some() && other.fleet.is_some() {
+            return Err(Fault::of_key("fleet", "this table stands in an earlier file too"));
+        }
+        if self.trial.is_some() && other.trial.is_some() {
+            return Err(Fault::of_key("trial", "this table stands in an earlier file too"));
+        }
+        Ok(Switches {
+            limits: self.limits.or(other.limits),
+            tally: self.tally.or(other.tally),
+            fleet: self.fleet.or(other.fleet),
+            trial: self.trial.or(other.trial),
+        })
     }
 
     fn check(&self) -> Result<(), Fault> {
@@ -86,6 +135,17 @@
             let (least, most) = (TALLY_EVERY_MS.start(), TALLY_EVERY_MS.end());
             return Err(Fault::of_key("tally.every_ms", format!("must lie between {least} and {most} (ms)")));
         }
+        if let Some(trial) = &self.trial {
+            if !TRIAL_RATES.contains(&trial.clock_rate) {
+                return Err(Fault::of_key("trial.clock_rate", "must lie between 0.5 and 2"));
+            }
+            if trial.wall_step_ms.unsigned_abs() > TRIAL_STEP_MOST_MS {
+                return Err(Fault::of_key(
+                    "trial.wall_step_ms",
+                    format!("must be {TRIAL_STEP_MOST_MS} ms at most"),
+                ));
+            }
+        }
         let Some(limits) = &self.limits else { return Ok(()) };
         let connections = [
             ("client_connections", limits.client_connections),
@@ -129,9 +189,10 @@
     #[test]
     fn the_shipped_files_are_usable() {
         let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy");
-        let all = Switches::read_all(&[deploy.join("limits.toml"), deploy.join("tally.toml")]);
+        let all =
+            Switches::read_all(&["limits.toml", "tally.toml", "fleet.toml"].map(|file| deploy.join(file)));
         let all = all.expect("usable, also together");
-        assert!(all.limits.is_some() && all.tally.is_some());
+        assert!(all.limits.is_some() && all.tally.is_some() && all.fleet.is_some() && all.trial.is_none());
         assert_eq!(Switches::parse("").expect("usable"), Switches::default());
     }
 
@@ -146,6 +207,11 @@
             ("[tally]\nevery_ms = 199", "tally.every_ms", "between 200 and"),
             ("[tally]\nevery_ms = -1", "tally.every_ms", "invalid value"),
             ("[tally]", "tally", "missing field"),
+            ("[fleet]\njsn = true", "fleet.jsn", "unknown field"),
+            ("[fleet]\njson = 1", "fleet.json", "invalid type"),
+            ("[trial]\nclock_rate = 3.0", "trial.clock_rate", "between 0.5 and 2"),
+            ("[trial]\nclock_rate = nan", "trial.clock_rate", "between 0.5 and 2"),
+            ("[trial]\nwall_step_ms = -9223372036854775808", "trial.wall_step_ms", "at most"),
             ("[limit]", "limit", "unknown field"),
             ("[limits", "", "not TOML"),
         ] {
@@ -158,7 +224,7 @@
 
     #[test]
     fn a_table_in_two_files_is_a_fault() {
-        for text in ["[limits]\nclient_connections = 9", "[tally]\nevery_ms = 900"] {
+        for text in ["[limits]\nclient_connections = 9", "[tally]\nevery_ms = 900", "[fleet]", "[trial]"] {
             let one = Switches::parse(text).expect("usable");
             assert!(one.clone().with(one.clone()).is_err(), "{text}");
             assert_eq!(one.clone().with(Switches::default()).expect("usable"), one);
--- a/agent/src/tally.rs
+++ b/agent/src/tally.rs
@@ -34,6 +34,12 @@
     ProbeFailed,
     /// Requests given up, by reason.
     GivenUp(Reason),
+    /// Packets of other agents that were taken in.
+    PeerPacket,
+    /// Packets at their address that were not.
+    PeerPacketDropped,
+    /// Packets to other agents.
+    PeerPacketSent,
 }
 
 impl Count {
@@ -58,6 +64,9 @@
             Count::Outcome(Outcome::NotSent) => "not-sent",
             Count::ProbeFailed => "probes-failed",
             Count::GivenUp(reason) => reason.name(),
+            Count::PeerPacket => "peer-packets",
+            Count::PeerPacketDropped => "peer-dropped",
+            Count::PeerPacketSent => "peer-sent",
         }
     }
 }
--- /dev/null
+++ b/lab/src/fleet/checker.rs
@@ -0,0 +1,586 @@
+//! Judges what the agents knew of one another, from the evidence alone.
+
+use crate::fleet::evidence::{Belief, Entry, Evidence};
+use crate::fleet::net::passes;
+use crate::fleet::plan::{Fault, Kind, Plan};
+use dilljunction_cluster::pace;
+use serde::Serialize;
+
+/// How long somebody reachable and awake may be called gone by all who reach it, in seconds: it hears so from the first of
+/// them that it talks to, and the others have to hear of that.
+pub const BACK_WITHIN: f64 = 10.0;
+/// Beyond the time for which a view is sure, a member that is cut off may take this long to notice, in seconds.
+const UNSURE_SLACK: f64 = 2.0;
+/// How often what lasts is looked at, in seconds.
+const LOOK_EVERY: f64 = 0.25;
+/// Breaches that are kept.
+const BREACHES_MOST: usize = 100;
+
+/// A rule for what agents know of one another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// After the last fault every view equals the truth within the stated time.
+    Settles,
+    /// No view goes back to an earlier life of a member.
+    LivesRise,
+    /// Nobody who is reachable and awake is gone for all who reach it.
+    NobodyLost,
+    /// Where nothing else is wrong, a death is known to all within the stated time.
+    DeathsKnown,
+    /// A member that reaches no majority is not sure of its view.
+    KnowsItsLimits,
+    /// A view holds each member once, itself among them, and nobody who never was.
+    WellFormed,
+    /// No agent ends by itself.
+    NoCrash,
+}
+
+impl Rule {
+    /// All.
+    pub const ALL: [Rule; 7] = [
+        Rule::Settles,
+        Rule::LivesRise,
+        Rule::NobodyLost,
+        Rule::DeathsKnown,
+        Rule::KnowsItsLimits,
+        Rule::WellFormed,
+        Rule::NoCrash,
+    ];
+
+    /// Its name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::Settles => "settles",
+            Rule::LivesRise => "lives rise",
+            Rule::NobodyLost => "nobody lost",
+            Rule::DeathsKnown => "deaths known",
+            Rule::KnowsItsLimits => "knows its limits",
+            Rule::WellFormed => "well formed",
+            Rule::NoCrash => "no crash",
+        }
+    }
+}
+
+/// A rule that was broken.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// When, in seconds.
+    pub at: f64,
+    /// By whom and how.
+    pub what: String,
+}
+
+/// What came out.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Verdict {
+    /// What broke rules; the first hundred.
+    pub breaches: Vec<Breach>,
+    /// How long after the last fault all views were one and true for good, in seconds; nothing if they never were.
+    pub settled_after: Option<f64>,
+    /// How long that may take, in seconds.
+    pub settles_within: f64,
+    /// How often somebody who ran, awake and reachable, was called gone by somebody who reached it.
+    pub wrong_deaths: usize,
+    /// For how long together, in seconds.
+    pub wrong_death_seconds: f64,
+    /// How long each death took to be known to all, in seconds, where nothing else was wrong.
+    pub deaths_known_after: Vec<f64>,
+}
+
+impl Verdict {
+    /// True if every rule held.
+    pub fn kept(&self) -> bool {
+        self.breaches.is_empty()
+    }
+
+    /// How often a rule was broken.
+    pub fn count(&self, rule: Rule) -> usize {
+        self.breaches.iter().filter(|b| b.rule == rule).count()
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Run {
+    Away,
+    Awake,
+    Stopped,
+    /// Told to end: it may still say so.
+    Ending,
+}
+
+#[derive(Clone, Copy)]
+struct Opinion {
+    life: u64,
+    belief: Belief,
+}
+
+#[derive(Clone)]
+struct Member {
+    run: Run,
+    /// Since when it runs awake, or is away.
+    since: f64,
+    own_life: Option<u64>,
+    digest: u64,
+    sure: bool,
+    opinions: Vec<Option<Opinion>>,
+    reachable_since: Option<f64>,
+    /// Since when each other reaches it, both ways.
+    linked_since: Vec<Option<f64>>,
+    cut_since: Option<f64>,
+    lost: bool,
+    wrongly_gone_at: Vec<Option<f64>>,
+    /// When it ended, while nothing else has been wrong since.
+    died: Option<f64>,
+    told: bool,
+}
+
+/// The state of the world as the evidence goes on.
+struct World<'a> {
+    plan: &'a Plan,
+    members: Vec<Member>,
+    active: Vec<(Fault, f64)>,
+    verdict: Verdict,
+    /// Since when all views are one and true.
+    true_since: Option<f64>,
+}
+
+/// Judges a run of a plan.
+pub fn judge(plan: &Plan, evidence: &Evidence) -> Verdict {
+    let mut world = World::new(plan);
+    let mut next_look = 0.0;
+    let mut last_fault = 0.0;
+    for (at, entry) in &evidence.entries {
+        while next_look < *at {
+            world.look(next_look);
+            next_look += LOOK_EVERY;
+        }
+        if !matches!(entry, Entry::Says { .. } | Entry::Stands { .. } | Entry::Odd { .. }) {
+            last_fault = *at;
+        }
+        world.take(*at, entry);
+        world.true_since = if world.is_settled() { world.true_since.or(Some(*at)) } else { None };
+    }
+    let end = evidence.entries.last().map_or(0.0, |(at, _)| *at);
+    world.look(end.max(next_look));
+    let within = plan.settles_within();
+    world.verdict.settles_within = within;
+    world.verdict.settled_after = world.true_since.map(|at| (at - last_fault).max(0.0));
+    match world.verdict.settled_after {
+        Some(after) if after <= within => {}
+        _ => {
+            let what = world.unsettled().unwrap_or_else(|| "true too late".into());
+            world.breach(Rule::Settles, end, what);
+        }
+    }
+    world.verdict
+}
+
+impl<'a> World<'a> {
+    fn new(plan: &'a Plan) -> Self {
+        let member = Member {
+            run: Run::Away,
+            since: 0.0,
+            own_life: None,
+            digest: 0,
+            sure: false,
+            opinions: vec![None; plan.agents],
+            reachable_since: None,
+            linked_since: vec![None; plan.agents],
+            cut_since: None,
+            lost: false,
+            wrongly_gone_at: vec![None; plan.agents],
+            died: None,
+            told: false,
+        };
+        let verdict = Verdict::default();
+        World { plan, members: vec![member; plan.agents], active: Vec::new(), verdict, true_since: None }
+    }
+
+    fn breach(&mut self, rule: Rule, at: f64, what: String) {
+        if self.verdict.breaches.len() < BREACHES_MOST {
+            self.verdict.breaches.push(Breach { rule, at, what });
+        }
+    }
+
+    fn take(&mut self, at: f64, entry: &Entry) {
+        match entry {
+            Entry::Started(m) => {
+                let agents = self.plan.agents;
+                let member = &mut self.members[*m];
+                (member.run, member.since, member.died) = (Run::Awake, at, None);
+                (member.own_life, member.sure, member.reachable_since, member.cut_since) =
+                    (None, false, None, None);
+                member.opinions = vec![None; agents];
+                member.wrongly_gone_at = vec![None; agents];
+                self.disturbed();
+            }
+            // The others must see one change of life; the new process knows nothing yet.
+            Entry::Upgraded(m) => {
+                let agents = self.plan.agents;
+                let member = &mut self.members[*m];
+                (member.own_life, member.sure) = (None, false);
+                member.opinions = vec![None; agents];
+                member.since = at;
+                self.disturbed();
+            }
+            Entry::Ending(m) => self.members[*m].run = Run::Ending,
+            Entry::Ended(m) | Entry::Crashed(m) => {
+                self.disturbed();
+                let calm = self.is_calm();
+                let member = &mut self.members[*m];
+                (member.run, member.since, member.reachable_since, member.cut_since) =
+                    (Run::Away, at, None, None);
+                (member.died, member.told, member.sure) = (calm.then_some(at), false, false);
+                if matches!(entry, Entry::Crashed(_)) {
+                    self.breach(Rule::NoCrash, at, format!("agent {m} has ended by itself"));
+                }
+            }
+            Entry::Stopped(m) => {
+                (self.members[*m].run, self.members[*m].reachable_since) = (Run::Stopped, None);
+                self.members[*m].cut_since = None;
+                self.disturbed();
+            }
+            Entry::Continued(m) => {
+                (self.members[*m].run, self.members[*m].since) = (Run::Awake, at);
+                self.disturbed();
+            }
+            Entry::Began(i, _) => {
+                self.active.push((self.plan.fault[*i].clone(), at));
+                self.disturbed();
+            }
+            Entry::Over(i, _) => {
+                let over = &self.plan.fault[*i];
+                if let Some(place) = self.active.iter().position(|(f, _)| f == over) {
+                    self.active.remove(place);
+                }
+            }
+            Entry::Says { observer, member, life, belief } => {
+                self.says(at, *observer, *member, *life, *belief)
+            }
+            Entry::Stands { observer, life, digest, sure } => {
+                let own = &mut self.members[*observer];
+                if own.own_life.is_some_and(|before| before > *life) {
+                    self.breach(
+                        Rule::LivesRise,
+                        at,
+                        format!("agent {observer} has gone back to its life {life}"),
+                    );
+                }
+                let own = &mut self.members[*observer];
+                (own.own_life, own.digest, own.sure) = (Some(*life), *digest, *sure);
+            }
+            Entry::Odd { observer, what } => {
+                self.breach(Rule::WellFormed, at, format!("agent {observer}: {what}"))
+            }
+        }
+    }
+
+    /// Something else is wrong now: how long a death takes to be known is no longer stated.
+    fn disturbed(&mut self) {
+        self.members.iter_mut().for_each(|m| m.died = None);
+    }
+
+    /// Nothing is wrong with the network, nobody is stopped.
+    fn is_calm(&self) -> bool {
+        let awake = |m: &Member| m.run == Run::Awake || m.run == Run::Away;
+        self.active.is_empty() && self.members.iter().all(awake)
+    }
+
+    fn says(&mut self, at: f64, observer: usize, member: usize, life: u64, belief: Belief) {
+        if member >= self.plan.agents {
+            return;
+        }
+        if let Some(before) = self.members[observer].opinions[member].filter(|before| before.life > life) {
+            let what =
+                format!("agent {observer} has gone back from life {} of {member} to {life}", before.life);
+            self.breach(Rule::LivesRise, at, what);
+        }
+        self.members[observer].opinions[member] = Some(Opinion { life, belief });
+        let wrong = belief == Belief::Gone
+            && self.members[member].run == Run::Awake
+            && self.members[member].own_life.is_none_or(|own| own == life)
+            && self.linked(observer, member, at)
+            && at - self.members[member].since > 1.0;
+        let open = &mut self.members[observer].wrongly_gone_at[member];
+        match (wrong, *open) {
+            (true, None) => {
+                *open = Some(at);
+                self.verdict.wrong_deaths += 1;
+            }
+            (false, Some(since)) => {
+                *open = None;
+                self.verdict.wrong_death_seconds += at - since;
+            }
+            _ => {}
+        }
+    }
+
+    fn linked(&self, a: usize, b: usize, at: f64) -> bool {
+        let agents = self.plan.agents;
+        self.active
+            .iter()
+            .all(|(f, began)| passes(f, at - began, a, b, agents) && passes(f, at - began, b, a, agents))
+    }
+
+    /// The network is such that nobody can know who is there.
+    fn is_harsh(&self) -> bool {
+        let harsh = |f: &Fault| match f.kind {
+            Kind::Loss => f.amount > 0.1,
+            Kind::Delay => f.amount > 100.0,
+            Kind::Reordering => f.amount > 0.3,
+            Kind::Flapping | Kind::Garbage => true,
+            _ => false,
+        };
+        self.active.iter().any(|(f, _)| harsh(f))
+    }
+
+    fn look(&mut self, at: f64) {
+        let agents = self.plan.agents;
+        let awake: Vec<usize> = (0..agents).filter(|m| self.members[*m].run == Run::Awake).collect();
+        // Who reaches whom, both ways.
+        let links: Vec<Vec<usize>> = (0..agents)
+            .map(|m| {
+                let is_awake = self.members[m].run == Run::Awake;
+                awake.iter().copied().filter(|o| is_awake && *o != m && self.linked(*o, m, at)).collect()
+            })
+            .collect();
+        let harsh = self.is_harsh();
+        for &m in &awake {
+            let reachable = !links[m].is_empty() && !harsh;
+            let since = &mut self.members[m].reachable_since;
+            *since = if reachable { since.or(Some(at)) } else { None };
+            let long = since.is_some_and(|since| at - since > BACK_WITHIN);
+            let linked = &mut self.members[m].linked_since;
+            for (o, since) in linked.iter_mut().enumerate() {
+                // Whoever has just begun to run, or to reach it, has no opinion of its own yet.
+                *since = if !harsh && links[m].contains(&o) { since.or(Some(at)) } else { None };
+            }
+            let gone = |o: &usize| {
+                let opinion = self.members[*o].opinions[m];
+                opinion.is_some_and(|opinion| opinion.belief == Belief::Gone)
+            };
+            let settled = |o: &&usize| {
+                let linked = self.members[m].linked_since[**o].is_some_and(|since| at - since > BACK_WITHIN);
+                linked && at - self.members[**o].since > BACK_WITHIN
+            };
+            let judges: Vec<usize> = links[m].iter().filter(settled).copied().collect();
+            let lost = long && !judges.is_empty() && judges.iter().all(gone);
+            if lost && !self.members[m].lost {
+                let what = format!("agent {m} has been awake and reachable, and {judges:?} call it gone");
+                self.breach(Rule::NobodyLost, at, what);
+            }
+            self.members[m].lost = lost;
+        }
+        self.look_at_limits(at, &awake, &links);
+        self.look_at_deaths(at);
+    }
+
+    fn look_at_limits(&mut self, at: f64, awake: &[usize], links: &[Vec<usize>]) {
+        for &m in awake {
+            let mut group = vec![m];
+            let mut next = 0;
+            while next < group.len() {
+                for &o in &links[group[next]] {
+                    if !group.contains(&o) {
+                        group.push(o);
+                    }
+                }
+                next += 1;
+            }
+            let cut = group.len() * 2 <= self.plan.agents;
+            let since = &mut self.members[m].cut_since;
+            *since = if cut { since.or(Some(at)) } else { None };
+            let limit = pace::SURE_FOR.as_secs_f64() + UNSURE_SLACK;
+            if self.members[m].sure && since_over(self.members[m].cut_since, at, limit) {
+                let what = format!("agent {m} reaches {} of {} and is sure", group.len(), self.plan.agents);
+                self.breach(Rule::KnowsItsLimits, at, what);
+                self.members[m].cut_since = None;
+            }
+        }
+    }
+
+    fn look_at_deaths(&mut self, at: f64) {
+        let away = self.members.iter().filter(|m| m.run == Run::Away).count();
+        let limit = pace::crash_known(self.plan.agents, away).as_secs_f64();
+        for m in 0..self.plan.agents {
+            let Some(died) = self.members[m].died.filter(|_| !self.members[m].told) else { continue };
+            let missing = self.members.iter().enumerate().find(|(_, o)| {
+                let knows = o.opinions[m].is_none_or(|opinion| opinion.belief == Belief::Gone);
+                o.run == Run::Awake && o.since <= died && !knows
+            });
+            match missing.map(|(observer, _)| observer) {
+                None => {
+                    self.members[m].told = true;
+                    self.verdict.deaths_known_after.push(at - died);
+                }
+                Some(observer) if at - died > limit => {
+                    self.members[m].told = true;
+                    let what = format!("agent {observer} did not know within {limit:.1} s that {m} had died");
+                    self.breach(Rule::DeathsKnown, at, what);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        self.unsettled().is_none()
+    }
+
+    /// What is not as it should be now, in one line.
+    fn unsettled(&self) -> Option<String> {
+        let runs = |m: usize| self.members[m].run == Run::Awake;
+        let running: Vec<usize> = (0..self.plan.agents).filter(|m| runs(*m)).collect();
+        let digest = running.first().map(|m| self.members[*m].digest);
+        for &observer in &running {
+            let own = &self.members[observer];
+            if own.own_life.is_none() {
+                return Some(format!("agent {observer} says nothing"));
+            }
+            for m in (0..self.plan.agents).filter(|m| *m != observer) {
+                let opinion = own.opinions[m];
+                let right = match opinion {
+                    None => !runs(m),
+                    Some(o) if runs(m) => {
+                        o.belief == Belief::Alive && Some(o.life) == self.members[m].own_life
+                    }
+                    Some(o) => o.belief == Belief::Gone,
+                };
+                if !right {
+                    let belief = opinion.map(|o| o.belief);
+                    let truth = if runs(m) { "runs" } else { "does not run" };
+                    return Some(format!("agent {observer} says {belief:?} of {m}, which {truth}"));
+                }
+            }
+            if Some(own.digest) != digest {
+                return Some(format!("agents {observer} and {} differ in their digests", running[0]));
+            }
+            if own.sure != (running.len() * 2 > self.plan.agents) {
+                return Some(format!(
+                    "agent {observer} with {} of {} there: sure {}",
+                    running.len(),
+                    self.plan.agents,
+                    own.sure
+                ));
+            }
+        }
+        None
+    }
+}
+
+fn since_over(since: Option<f64>, at: f64, limit: f64) -> bool {
+    since.is_some_and(|since| at - since > limit)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan(fault: Vec<Fault>) -> Plan {
+        Plan { name: "x".into(), about: "x".into(), agents: 3, seed: 0, fault }
+    }
+
+    fn says(observer: usize, member: usize, life: u64, belief: Belief) -> Entry {
+        Entry::Says { observer, member, life, belief }
+    }
+
+    /// Three agents that have started and know each other, at the first second.
+    fn settled() -> Vec<(f64, Entry)> {
+        let mut entries: Vec<(f64, Entry)> = (0..3).map(|m| (0.0, Entry::Started(m))).collect();
+        for observer in 0..3 {
+            let others = (0..3).filter(|m| *m != observer);
+            entries.extend(others.map(|m| (1.0, says(observer, m, 10 + m as u64, Belief::Alive))));
+            let life = 10 + observer as u64;
+            entries.push((1.0, Entry::Stands { observer, life, digest: 7, sure: true }));
+        }
+        entries
+    }
+
+    fn verdict(plan: &Plan, more: Vec<(f64, Entry)>) -> Verdict {
+        let mut entries = settled();
+        entries.extend(more);
+        judge(plan, &Evidence { entries })
+    }
+
+    fn broken(verdict: &Verdict) -> Vec<Rule> {
+        let mut rules: Vec<Rule> = verdict.breaches.iter().map(|b| b.rule).collect();
+        rules.dedup();
+        rules
+    }
+
+    #[test]
+    fn a_fleet_that_knows_itself_is_not_accused() {
+        let verdict = verdict(&plan(vec![]), vec![]);
+        assert!(verdict.kept() && verdict.settled_after == Some(1.0), "{verdict:?}");
+    }
+
+    #[test]
+    fn a_death_that_is_known_in_time_is_kept_and_one_that_is_not_is_found() {
+        let known = |at: f64| {
+            let mut more = vec![(5.0, Entry::Ended(2))];
+            for observer in 0..2 {
+                more.push((at, says(observer, 2, 12, Belief::Gone)));
+                more.push((
+                    at,
+                    Entry::Stands { observer, life: 10 + observer as u64, digest: 8, sure: true },
+                ));
+            }
+            verdict(&plan(vec![]), more)
+        };
+        let limit = pace::crash_known(3, 1).as_secs_f64();
+        let in_time = known(5.0 + limit - 1.0);
+        assert!(in_time.kept() && in_time.deaths_known_after.len() == 1, "{in_time:?}");
+        assert_eq!(broken(&known(5.0 + limit + 1.0)), [Rule::DeathsKnown]);
+        let never = verdict(
+            &plan(vec![]),
+            vec![
+                (5.0, Entry::Ended(2)),
+                (90.0, Entry::Stands { observer: 0, life: 10, digest: 7, sure: true }),
+            ],
+        );
+        assert!(broken(&never).contains(&Rule::Settles), "{never:?}");
+    }
+
+    #[test]
+    fn a_life_that_goes_back_is_found() {
+        let back = vec![(2.0, says(0, 1, 10, Belief::Alive)), (2.1, says(0, 1, 11, Belief::Alive))];
+        assert_eq!(broken(&verdict(&plan(vec![]), back)), [Rule::LivesRise]);
+    }
+
+    #[test]
+    fn whoever_is_called_gone_by_all_for_long_is_found_and_whoever_comes_back_is_not() {
+        let gone = |until: f64| {
+            let mut more: Vec<(f64, Entry)> = (0..2).map(|o| (15.0, says(o, 2, 12, Belief::Gone))).collect();
+            more.extend((0..2).map(|o| (until, says(o, 2, 12, Belief::Alive))));
+            verdict(&plan(vec![]), more)
+        };
+        assert_eq!(broken(&gone(30.0)), [Rule::NobodyLost]);
+        let mut stopped = vec![(2.0, Entry::Stopped(2))];
+        stopped.extend((0..2).map(|o| (6.0, says(o, 2, 12, Belief::Gone))));
+        stopped.push((30.0, Entry::Continued(2)));
+        stopped.extend((0..2).map(|o| (32.0, says(o, 2, 12, Belief::Alive))));
+        assert!(verdict(&plan(vec![]), stopped).kept());
+    }
+
+    #[test]
+    fn one_that_is_cut_off_and_sure_is_found() {
+        let cut = Fault { kind: Kind::Partition, at: 2.0, lasts: 30.0, members: vec![2], amount: 0.0 };
+        let plan = plan(vec![cut]);
+        let begin = (2.0, Entry::Began(0, Kind::Partition));
+        let unsure = |sure: bool| Entry::Stands { observer: 2, life: 12, digest: 7, sure };
+        let over = [(32.0, Entry::Over(0, Kind::Partition)), (33.0, unsure(true))];
+        let knows = verdict(&plan, [vec![begin.clone(), (8.0, unsure(false))], over.to_vec()].concat());
+        assert!(knows.kept(), "{knows:?}");
+        assert_eq!(broken(&verdict(&plan, [vec![begin], over.to_vec()].concat())), [Rule::KnowsItsLimits]);
+    }
+
+    #[test]
+    fn odd_views_and_crashes_are_found() {
+        let odd = vec![(2.0, Entry::Odd { observer: 1, what: "x".into() })];
+        assert_eq!(broken(&verdict(&plan(vec![]), odd)), [Rule::WellFormed]);
+        assert!(broken(&verdict(&plan(vec![]), vec![(2.0, Entry::Crashed(1))])).contains(&Rule::NoCrash));
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/shrink.rs
@@ -0,0 +1,69 @@
+//! Takes faults out of a schedule that fails for as long as it goes on failing, so that what is left is what matters.
+
+use crate::fleet::plan::{Fault, Plan};
+
+/// The fewest faults of `plan` with which `fails` still says yes, tried one at a time and in halves. It is asked at most
+/// `tries` times, and the plan itself must fail.
+pub fn shrink(plan: &Plan, mut tries: usize, mut fails: impl FnMut(&Plan) -> bool) -> Plan {
+    let mut best = plan.clone();
+    let mut piece = best.fault.len().div_ceil(2).max(1);
+    loop {
+        let mut at = 0;
+        let mut shorter = false;
+        while at < best.fault.len() && tries > 0 {
+            let rest: Vec<Fault> = best
+                .fault
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| !(at..at + piece).contains(i))
+                .map(|(_, f)| f.clone())
+                .collect();
+            let without = Plan { fault: rest, ..best.clone() };
+            tries -= 1;
+            if fails(&without) {
+                (best, shorter) = (without, true);
+            } else {
+                at += piece;
+            }
+        }
+        if tries == 0 || (piece == 1 && !shorter) {
+            best.name = format!("{}-shrunk", plan.name);
+            best.about = format!("{}, the fewest faults that still fail", plan.about);
+            return best;
+        }
+        piece = (piece / 2).max(1);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::plan::Kind;
+
+    #[test]
+    fn what_does_not_matter_is_taken_out_and_what_does_stays() {
+        let plan = (0..200).map(|seed| Plan::draw(seed, 9)).find(|p| p.fault.len() == 8).unwrap();
+        let (a, b) = (plan.fault[2].clone(), plan.fault[5].clone());
+        let fails = |p: &Plan| p.fault.contains(&a) && p.fault.contains(&b);
+        let small = shrink(&plan, 100, fails);
+        assert_eq!(small.fault, [a.clone(), b.clone()]);
+        assert!(small.check().is_ok());
+        // The bound on tries holds, and what comes out then still fails.
+        let mut asked = 0;
+        let some = shrink(&plan, 3, |p| {
+            asked += 1;
+            fails(p)
+        });
+        assert!(asked == 3 && fails(&some));
+        assert!(shrink(
+            &Plan {
+                fault: vec![Fault { kind: Kind::Storm, at: 0.0, lasts: 0.0, members: vec![], amount: 0.0 }],
+                ..plan
+            },
+            9,
+            |_| true
+        )
+        .fault
+        .is_empty());
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/switch.rs
@@ -0,0 +1,128 @@
+//! The network between real agents: a public address for each, behind which the switch carries every datagram on. Agent i
+//! binds an address of its own and sends to j's public one; the switch knows i by where the packet came from, and hands it on
+//! from i's public address, as the platform does.
+
+use crate::fleet::net::{Net, Packet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+
+/// How often garbage is sent while some is to come.
+const GARBAGE_EVERY: Duration = Duration::from_millis(10);
+/// Larger than any datagram that an agent may send, so that one that is too long is carried on as it is.
+const DATAGRAM_MOST: usize = 2_048;
+
+struct Inner {
+    net: Mutex<Net>,
+    publics: Vec<UdpSocket>,
+    /// Where each member listens at present.
+    members: Mutex<Vec<Option<SocketAddr>>>,
+    start: Instant,
+}
+
+/// A switch; it carries until it is dropped.
+pub struct Switch {
+    inner: Arc<Inner>,
+    _tasks: JoinSet<()>,
+}
+
+fn lock<T>(what: &Mutex<T>) -> MutexGuard<'_, T> {
+    what.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Switch {
+    /// One for so many agents.
+    pub async fn start(agents: usize, seed: u64) -> Result<Switch, String> {
+        let mut publics = Vec::new();
+        for _ in 0..agents {
+            publics
+                .push(UdpSocket::bind("127.0.0.1:0").await.map_err(|e| format!("no public address: {e}"))?);
+        }
+        let members = Mutex::new(vec![None; agents]);
+        let net = Mutex::new(Net::new(agents, seed));
+        let inner = Arc::new(Inner { net, publics, members, start: Instant::now() });
+        let mut tasks = JoinSet::new();
+        for to in 0..agents {
+            tasks.spawn(carry(Arc::clone(&inner), to));
+        }
+        tasks.spawn(garbage(Arc::clone(&inner), seed));
+        Ok(Switch { inner, _tasks: tasks })
+    }
+
+    /// The public addresses, by number.
+    pub fn addresses(&self) -> Result<Vec<SocketAddr>, String> {
+        self.inner.publics.iter().map(|p| p.local_addr().map_err(|e| e.to_string())).collect()
+    }
+
+    /// A member listens there from now on.
+    pub fn place(&self, member: usize, address: SocketAddr) {
+        lock(&self.inner.members)[member] = Some(address);
+    }
+
+    /// What the network does, and has carried.
+    pub fn net(&self) -> MutexGuard<'_, Net> {
+        lock(&self.inner.net)
+    }
+
+    /// The seconds since the switch was started, by which faults of the network are timed.
+    pub fn now(&self) -> f64 {
+        self.inner.start.elapsed().as_secs_f64()
+    }
+
+    /// Hands on what comes at once, such as a replay.
+    pub async fn send(&self, packets: Vec<Packet>) {
+        for packet in packets {
+            self.inner.hand_on(&packet).await;
+        }
+    }
+}
+
+impl Inner {
+    async fn hand_on(&self, packet: &Packet) {
+        let to = lock(&self.members)[packet.to];
+        if let Some(to) = to {
+            // A member that does not listen is no fault of the switch.
+            let _ = self.publics[packet.from].send_to(&packet.bytes, to).await;
+        }
+    }
+}
+
+async fn carry(inner: Arc<Inner>, to: usize) {
+    let mut bytes = [0; DATAGRAM_MOST];
+    loop {
+        // An error is a member's that has gone meanwhile.
+        let Ok((length, source)) = inner.publics[to].recv_from(&mut bytes).await else { continue };
+        let from = lock(&inner.members).iter().position(|m| *m == Some(source));
+        let Some(from) = from else { continue };
+        let packet = Packet { from, to, bytes: bytes[..length].to_vec() };
+        let copies = lock(&inner.net).carry(&packet, inner.start.elapsed().as_secs_f64());
+        for late in copies {
+            if late.is_zero() {
+                inner.hand_on(&packet).await;
+            } else {
+                let (inner, packet) = (Arc::clone(&inner), packet.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(late).await;
+                    inner.hand_on(&packet).await;
+                });
+            }
+        }
+    }
+}
+
+async fn garbage(inner: Arc<Inner>, seed: u64) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut ticks = tokio::time::interval(GARBAGE_EVERY);
+    loop {
+        ticks.tick().await;
+        let floods = lock(&inner.net).garbage();
+        for (to, per_second) in floods {
+            for _ in 0..(per_second * GARBAGE_EVERY.as_secs_f64()).ceil() as usize {
+                let bytes = (0..random.usize(0..300)).map(|_| random.u8(..)).collect();
+                inner.hand_on(&Packet { from: random.usize(0..inner.publics.len()), to, bytes }).await;
+            }
+        }
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod clock;
 pub mod emulate;
+pub mod fleet;
 pub mod judge;
 pub mod show;
 pub mod standins;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -11,6 +11,11 @@
 pub struct SettingsFile(words::Params);
 
 impl SettingsFile {
+    /// This instance's number among its peers, from 0, if it is told.
+    pub fn number(&self) -> Option<u16> {
+        self.0.slot_no
+    }
+
     /// The settings in the library's terms; what is absent keeps the library's default.
     pub fn settings(&self) -> Settings {
         let params = &self.0;
--- a/settings/src/words.rs
+++ b/settings/src/words.rs
@@ -18,6 +18,7 @@
     pub penalties: Penalties,
     pub period_ms: Option<f64>,
     pub rules: Rules,
+    pub slot_no: Option<u16>,
     pub weights: Option<Weights>,
     pub worth_by: Option<WorthBy>,
     pub zone: u32,
--- a/src/api.rs
+++ b/src/api.rs
@@ -609,6 +609,8 @@
     },
     /// News of the server list.
     List(ListUpdate),
+    /// So many balancers share the servers from now on, this one included, in place of [`Settings::balancers`].
+    Balancers(u32),
     /// Another balancer's message.
     PeerMessage {
         /// Who sent it.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -328,9 +328,8 @@
             Event::Whole { request } => self.whole(now, request),
             Event::FirstByte { request, attempt } => self.begin(now, request, attempt, out),
             Event::Outcome { .. } => self.outcome(now, event, out),
-            Event::ClientGone { request } => {
-                self.live.remove(&request);
-            }
+            Event::ClientGone { request } => drop(self.live.remove(&request)),
+            Event::Balancers(number) => self.settings.balancers = number.max(1),
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(LOOKED) => self.settle(now, |look| look.until <= now, out),
             Event::Timer(_) | Event::PeerMessage { .. } => {}
