Play schedules from the command line; find seven members that are broken on purpose

Need: a judge that can't fail proves nothing, and people need a way to play, measure and look at schedules.

A rule more: whoever was stopped does not call half of the others gone on waking.

--- a/lab/src/fleet/checker.rs
+++ b/lab/src/fleet/checker.rs
@@ -11,6 +11,8 @@
 pub const BACK_WITHIN: f64 = 10.0;
 /// Beyond the time for which a view is sure, a member that is cut off may take this long to notice, in seconds.
 const UNSURE_SLACK: f64 = 2.0;
+/// How long after it goes on a member that was stopped is looked at, in seconds.
+const WAKING: f64 = 3.0;
 /// How often what lasts is looked at, in seconds.
 const LOOK_EVERY: f64 = 0.25;
 /// Breaches that are kept.
@@ -30,6 +32,8 @@
     DeathsKnown,
     /// A member that reaches no majority is not sure of its view.
     KnowsItsLimits,
+    /// Whoever was stopped does not call half of those whom it reaches gone because of that.
+    WakesGently,
     /// A view holds each member once, itself among them, and nobody who never was.
     WellFormed,
     /// No agent ends by itself.
@@ -38,12 +42,13 @@
 
 impl Rule {
     /// All.
-    pub const ALL: [Rule; 7] = [
+    pub const ALL: [Rule; 8] = [
         Rule::Settles,
         Rule::LivesRise,
         Rule::NobodyLost,
         Rule::DeathsKnown,
         Rule::KnowsItsLimits,
+        Rule::WakesGently,
         Rule::WellFormed,
         Rule::NoCrash,
     ];
@@ -56,6 +61,7 @@
             Rule::NobodyLost => "nobody lost",
             Rule::DeathsKnown => "deaths known",
             Rule::KnowsItsLimits => "knows its limits",
+            Rule::WakesGently => "wakes gently",
             Rule::WellFormed => "well formed",
             Rule::NoCrash => "no crash",
         }
@@ -132,6 +138,8 @@
     cut_since: Option<f64>,
     lost: bool,
     wrongly_gone_at: Vec<Option<f64>>,
+    /// When it last went on after a stop, until it is found rash.
+    woke: Option<f64>,
     /// When it ended, while nothing else has been wrong since.
     died: Option<f64>,
     told: bool,
@@ -192,6 +200,7 @@
             cut_since: None,
             lost: false,
             wrongly_gone_at: vec![None; plan.agents],
+            woke: None,
             died: None,
             told: false,
         };
@@ -244,7 +253,8 @@
                 self.disturbed();
             }
             Entry::Continued(m) => {
-                (self.members[*m].run, self.members[*m].since) = (Run::Awake, at);
+                let member = &mut self.members[*m];
+                (member.run, member.since, member.woke) = (Run::Awake, at, Some(at));
                 self.disturbed();
             }
             Entry::Began(i, _) => {
@@ -375,6 +385,7 @@
             self.members[m].lost = lost;
         }
         self.look_at_limits(at, &awake, &links);
+        self.look_at_waking(at, &awake, &links);
         self.look_at_deaths(at);
     }
 
@@ -402,6 +413,29 @@
         }
     }
 
+    fn look_at_waking(&mut self, at: f64, awake: &[usize], links: &[Vec<usize>]) {
+        for &m in awake {
+            let member = &self.members[m];
+            if !member.woke.is_some_and(|woke| at - woke <= WAKING) {
+                continue;
+            }
+            // Only those who have been there all along: of others it may rightly not know yet.
+            let there: Vec<usize> =
+                links[m].iter().copied().filter(|o| at - self.members[*o].since > BACK_WITHIN).collect();
+            let gone =
+                |o: &&usize| member.opinions[**o].is_some_and(|opinion| opinion.belief == Belief::Gone);
+            let lost = there.iter().filter(gone).count();
+            if there.len() > 2 && lost * 2 >= there.len() && self.active.is_empty() {
+                self.members[m].woke = None;
+                self.breach(
+                    Rule::WakesGently,
+                    at,
+                    format!("agent {m} called {lost} of {} gone on waking", there.len()),
+                );
+            }
+        }
+    }
+
     fn look_at_deaths(&mut self, at: f64) {
         let away = self.members.iter().filter(|m| m.run == Run::Away).count();
         let limit = pace::crash_known(self.plan.agents, away).as_secs_f64();
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -3,7 +3,10 @@
 
 pub mod checker;
 pub mod evidence;
+pub mod flaw;
+pub mod measure;
 pub mod net;
+pub mod page;
 pub mod plan;
 pub mod process;
 pub mod rig;
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -5,7 +5,21 @@
 use std::path::Path;
 
 /// The schedules that come with the lab.
-pub const SHIPPED: [(&str, &str); 1] = [("each-once", include_str!("../../worlds/fleet/each-once.toml"))];
+pub const SHIPPED: [(&str, &str); 13] = [
+    ("each-once", include_str!("../../worlds/fleet/each-once.toml")),
+    ("suspected", include_str!("../../worlds/fleet/suspected.toml")),
+    ("kill-one", include_str!("../../worlds/fleet/kill-one.toml")),
+    ("clock-back", include_str!("../../worlds/fleet/clock-back.toml")),
+    ("old-packets", include_str!("../../worlds/fleet/old-packets.toml")),
+    ("stop-one", include_str!("../../worlds/fleet/stop-one.toml")),
+    ("cut-one", include_str!("../../worlds/fleet/cut-one.toml")),
+    ("three-parts", include_str!("../../worlds/fleet/three-parts.toml")),
+    ("all-but-one", include_str!("../../worlds/fleet/all-but-one.toml")),
+    ("bad-weather", include_str!("../../worlds/fleet/bad-weather.toml")),
+    ("starved", include_str!("../../worlds/fleet/starved.toml")),
+    ("upgrades", include_str!("../../worlds/fleet/upgrades.toml")),
+    ("one-pair", include_str!("../../worlds/fleet/one-pair.toml")),
+];
 
 /// Agents that a schedule may have, and how long it may last.
 const AGENTS_MOST: usize = 2_000;
--- a/lab/src/fleet/simulate.rs
+++ b/lab/src/fleet/simulate.rs
@@ -1,6 +1,7 @@
 //! A schedule in virtual time: the views of up to 2,000 members in one process, the same network, the same judge.
 
 use crate::fleet::evidence::{Belief, Entry, Evidence, Reader, Seen};
+use crate::fleet::flaw::{Broken, Flaw, BROKEN};
 use crate::fleet::net::{Net, Packet};
 use crate::fleet::plan::{Act, Clocks, Plan};
 use dilljunction_cluster::member::{Life, Name, Number, State};
@@ -48,6 +49,8 @@
     pub evidence: Evidence,
     /// Packets and bytes that agents sent.
     pub carried: (u64, u64),
+    /// How long the first settling took, in virtual seconds.
+    pub first_settled: f64,
     /// How long it was, in virtual seconds.
     pub seconds: f64,
 }
@@ -63,12 +66,15 @@
     queue: BinaryHeap<Reverse<(u64, u64, What)>>,
     random: fastrand::Rng,
     starts: u64,
+    /// What is wrong with the one that is broken on purpose, and its memory.
+    flaw: Option<Flaw>,
+    broken: Option<Broken>,
     evidence: Evidence,
 }
 
 impl Simulation {
     /// All members that a plan names, none of them started.
-    pub fn new(agents: usize, seed: u64) -> Simulation {
+    pub fn new(agents: usize, seed: u64, flaw: Option<Flaw>) -> Simulation {
         let members = (0..agents)
             .map(|_| Member {
                 view: None,
@@ -91,6 +97,8 @@
             queue: BinaryHeap::new(),
             random: fastrand::Rng::with_seed(seed),
             starts: 0,
+            flaw,
+            broken: None,
             evidence: Evidence::default(),
         }
     }
@@ -162,6 +170,9 @@
             Act::Continue(m) => {
                 if std::mem::take(&mut self.members[m].stopped) && self.members[m].view.is_some() {
                     self.write(Entry::Continued(m));
+                    if let Some(broken) = self.broken.as_mut().filter(|_| m == BROKEN) {
+                        broken.wakes();
+                    }
                     let local = self.local(m);
                     // What waits for it is read when its timers are due: either may come first.
                     if self.random.bool() {
@@ -219,6 +230,9 @@
             (clocks, self.now_us, false, None);
         member.view = View::new(setup, Duration::ZERO).ok();
         member.reader = Reader::default();
+        if let Some(flaw) = self.flaw.filter(|_| m == BROKEN) {
+            self.broken = Some(Broken::new(flaw, Life::from_unix_ms(unix_ms)));
+        }
         self.after(m);
     }
 
@@ -227,7 +241,9 @@
         let Some(view) = &mut self.members[m].view else { return };
         let mut packets = Vec::new();
         while let Some((address, bytes)) = view.poll_packet() {
-            packets.push((address, bytes));
+            let broken = self.broken.as_ref().filter(|_| m == BROKEN);
+            packets
+                .push((address, broken.map_or_else(|| bytes.clone(), |broken| broken.sends(bytes.clone()))));
         }
         let mut changed = false;
         while view.poll_event().is_some() {
@@ -256,6 +272,9 @@
 
     fn arrives(&mut self, to: usize, from: usize, bytes: &[u8]) {
         let local = self.local(to);
+        if let Some(broken) = self.broken.as_mut().filter(|_| to == BROKEN) {
+            broken.hears(bytes);
+        }
         let from = self.addresses[from];
         if let Some(view) = &mut self.members[to].view {
             let _ = view.handle_packet(local, from, bytes);
@@ -323,6 +342,10 @@
             let member = &mut self.members[m];
             let Some(view) = member.view.as_ref().filter(|_| !member.stopped) else { continue };
             let seen = seen(view, local);
+            let seen = match self.broken.as_mut().filter(|_| m == BROKEN) {
+                Some(broken) => broken.says(seen),
+                None => seen,
+            };
             let entries = member.reader.read(m, seen, self.agents);
             let at = self.now();
             self.evidence.entries.extend(entries.into_iter().map(|entry| (at, entry)));
@@ -385,8 +408,8 @@
 }
 
 /// Plays a schedule: all start, settle, the faults come, and it ends when all has settled again or the stated time is over.
-pub fn simulate(plan: &Plan) -> Simulated {
-    let mut sim = Simulation::new(plan.agents, plan.seed);
+pub fn simulate(plan: &Plan, flaw: Option<Flaw>) -> Simulated {
+    let mut sim = Simulation::new(plan.agents, plan.seed, flaw);
     for m in 0..plan.agents {
         sim.start(m, Clocks::default());
     }
@@ -405,6 +428,7 @@
         sim.read();
     }
     let begin = sim.now();
+    let first_settled = begin;
     for (at, act) in plan.steps() {
         read_until(&mut sim, begin + at);
         sim.act(plan, act);
@@ -417,7 +441,7 @@
         sim.read();
         settled_since = if sim.is_settled() { settled_since.or(Some(sim.now())) } else { None };
     }
-    Simulated { seconds: sim.now(), carried: sim.net.carried, evidence: sim.evidence }
+    Simulated { first_settled, seconds: sim.now(), carried: sim.net.carried, evidence: sim.evidence }
 }
 
 #[cfg(test)]
@@ -429,14 +453,14 @@
     fn drawn_schedules_are_kept_and_equal_seeds_tell_equal_stories() {
         for seed in 0..20 {
             let plan = Plan::draw(seed, 3 + seed as usize % 7);
-            let run = simulate(&plan);
+            let run = simulate(&plan, None);
             let verdict = judge(&plan, &run.evidence);
             assert!(verdict.kept(), "seed {seed}: {verdict:#?}\n{}", plan.text().unwrap());
         }
         let each = Plan::find("each-once").unwrap();
-        let verdict = judge(&each, &simulate(&each).evidence);
+        let verdict = judge(&each, &simulate(&each, None).evidence);
         assert!(verdict.kept(), "{verdict:#?}");
         let plan = Plan::draw(3, 5);
-        assert_eq!(simulate(&plan).evidence, simulate(&plan).evidence);
+        assert_eq!(simulate(&plan, None).evidence, simulate(&plan, None).evidence);
     }
 }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
+mod fleet_command;
+
 use clap::{Args, Parser, Subcommand};
 use dilljunction_lab::clock::Clock;
 use dilljunction_lab::judge::evidence::Book;
@@ -85,10 +87,48 @@
         /// The folder that holds their logs, one file (*.log) each
         folder: PathBuf,
     },
+    /// Many agents that know of one another, with faults between them: judged, exit status 0 only if every rule held
+    Fleet(FleetArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
 
+#[derive(Args)]
+struct FleetArguments {
+    /// A shipped schedule (each-once) or a file; without one, a schedule is drawn from --seed
+    world: Option<String>,
+    /// The seed that a schedule is drawn from
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Agents of a drawn schedule
+    #[arg(long, default_value_t = 9)]
+    agents: usize,
+    /// So many schedules in a row, from --seed on
+    #[arg(long, default_value_t = 1)]
+    runs: u64,
+    /// In virtual time, with the same state machines and no process
+    #[arg(long = "virtual")]
+    in_virtual_time: bool,
+    /// In virtual time: measure how long a crash, a start, and the end of a partition take to be known
+    #[arg(long)]
+    measure: bool,
+    /// One member breaks a rule on purpose, to see that it is found
+    #[arg(long, value_name = "FLAW")]
+    flaw: Option<String>,
+    /// The agent's program; by default it is built from this repository
+    #[arg(long, value_name = "PROGRAM")]
+    agent: Option<PathBuf>,
+    /// Where configurations and logs of the agents go
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+    /// Write the verdicts as JSON as well
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Write a page about the runs as well
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+}
+
 #[derive(Args, Default)]
 struct Size {
     /// Agents
@@ -168,6 +208,7 @@
             emulate(&world, json.as_deref())
         }
         Some(Task::Tally { folder }) => tally(&folder),
+        Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
