Be sure of a view only by members who are not even suspected; judge whom one can hear

Need: ten thousand drawn schedules in virtual time found 45 in which a member that reached no majority stayed sure, for as long as the members on the other side were only suspected, and two in which a death from the other side of a partition was believed of somebody who had been heard a moment ago by a member that was unwell and asked less often.

Change: is_sure counts members that are not suspected; the time for which somebody counts as heard is stretched with the member's own health. The stated time of a join follows from how many are there.

Checked: the schedules, shrunk, one after the other; ruled out that the views were wrong at the end, all had settled.

--- a/cluster/src/pace.rs
+++ b/cluster/src/pace.rs
@@ -54,9 +54,12 @@
 }
 
 /// Within this a member that starts, or whose stopped process goes on, is known to all, and knows all; so many of
-/// `members` are not there. It seeks some at a time, and the dead among them do not answer.
+/// `members` are not there, and don't answer when it seeks them. Seven times as many tries as are needed on average miss
+/// once in a thousand times.
 pub fn join_known(members: usize, absent: usize) -> Duration {
-    SEEK_EVERY_ALONE * (absent * 10 / SEEK_AT_ONCE) as u32 + SEEK_EVERY * 5 + news(members)
+    let there = members.saturating_sub(absent).max(1);
+    let tries = (7 * members).div_ceil(SEEK_AT_ONCE * there);
+    SEEK_EVERY_ALONE * tries as u32 + SEEK_EVERY * 2 + news(members)
 }
 
 /// Within this all views are one after the end of a partition, however long it was: each side seeks the other's members,
@@ -66,6 +69,12 @@
     SEEK_EVERY.mul_f64(chance) + news(members) * 2
 }
 
+/// Within this a member that reaches no majority, alone or with others, is no longer sure: at the latest once nobody has
+/// agreed for [`SURE_FOR`], or half of all are suspected, whom two who are left ask in turn, and carefully.
+pub fn limits_known(members: usize) -> Duration {
+    SURE_FOR + PERIOD * (SCORE_MOST + 1) * members.div_ceil(4) as u32
+}
+
 /// How long news takes to reach all: by gossip, and by comparison where gossip has missed somebody.
 fn news(members: usize) -> Duration {
     let rounds = (members.max(2) as f64).log2();
--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -190,6 +190,9 @@
 #[derive(Default)]
 struct Ears {
     now: Cell<Duration>,
+    /// How long somebody may be silent and still count as heard: as long as others wait before they call it gone, and longer
+    /// while this member is itself unwell and asks less often.
+    window: Cell<Duration>,
     /// The identity that spoke last under each number, and when.
     heard: RefCell<BTreeMap<Number, (Identity, Duration)>>,
     /// Whom others call gone while this one has just heard it.
@@ -202,17 +205,16 @@
     }
 
     /// Whether this one was heard within the time that others must have waited for it in vain.
-    fn lately(&self, who: &Identity, members: usize) -> bool {
+    fn lately(&self, who: &Identity) -> bool {
         let heard = self.heard.borrow();
         let at = heard.get(&who.number).filter(|(identity, _)| identity == who).map(|(_, at)| *at);
-        at.is_some_and(|at| self.now.get().saturating_sub(at) < pace::suspicion(members))
+        at.is_some_and(|at| self.now.get().saturating_sub(at) < self.window.get())
     }
 
     /// What to believe of what others say: a death that this member's own ears contradict is a suspicion for now, so that
     /// neither the end of a partition nor one who is wrong makes everybody flap.
     fn weigh(&self, said: Member<Identity>) -> Member<Identity> {
-        let members = self.heard.borrow().len();
-        if said.state() != foca::State::Down || !self.lately(said.id(), members) {
+        if said.state() != foca::State::Down || !self.lately(said.id()) {
             return said;
         }
         let suspect = Member::new(said.id().clone(), said.incarnation(), foca::State::Suspect);
@@ -222,7 +224,6 @@
 
     /// The deaths that were doubted and have proved true, since nobody was heard again.
     fn proved(&self) -> Vec<Member<Identity>> {
-        let members = self.heard.borrow().len();
         let mut proved = Vec::new();
         self.doubted.borrow_mut().retain(|number, said| {
             let at =
@@ -230,7 +231,7 @@
             match at(said.id()) {
                 // Another life or turn has spoken since: the death was that of the one before.
                 None => false,
-                Some(_) if self.lately(said.id(), members) => true,
+                Some(_) if self.lately(said.id()) => true,
                 Some(_) => {
                     proved.push(said.clone());
                     false
@@ -426,10 +427,10 @@
     }
 
     /// Whether this view is likely to be that of the fleet: another member had the same within [`pace::SURE_FOR`], and more
-    /// than half of all members that the configuration or the fleet has ever named are there. A member that is cut off,
-    /// alone or with a minority, is not sure, and knows it.
+    /// than half of all members that the configuration or the fleet has ever named are there and not even suspected. A
+    /// member that is cut off, alone or with a minority, is not sure, and knows it.
     pub fn is_sure(&self, now: Duration) -> bool {
-        let present = 1 + self.present();
+        let present = 1 + self.table.values().filter(|e| e.state == State::Alive).count();
         let named = self.named();
         let agreed = self.agreed.is_some_and(|at| now.saturating_sub(at) < pace::SURE_FOR);
         self.standing == Standing::Present && 2 * present > named && (agreed || named == 1)
@@ -467,7 +468,7 @@
     /// A packet has come from this address.
     pub fn handle_packet(&mut self, now: Duration, from: SocketAddr, packet: &[u8]) -> Result<(), Dropped> {
         self.forgive(now);
-        self.ears.now.set(now);
+        self.listen(now);
         let handled = self.take(now, from, packet);
         match handled {
             Ok(()) => self.counts.received += 1,
@@ -480,7 +481,7 @@
     /// Time has passed; must be called at [`View::next_timer`], and may be at any time.
     pub fn handle_timeout(&mut self, now: Duration) {
         self.forgive(now);
-        self.ears.now.set(now);
+        self.listen(now);
         while let Some(what) = self.timers.pop_due(now) {
             self.elapsed(now, what);
             self.refresh(now);
@@ -620,6 +621,11 @@
 
     // ---- time ---------------------------------------------------------------------------------------
 
+    fn listen(&self, now: Duration) {
+        self.ears.now.set(now);
+        self.ears.window.set(pace::suspicion(self.size()) * self.health.stretch());
+    }
+
     /// A process that was stopped has waited for nobody meanwhile.
     fn forgive(&mut self, now: Duration) {
         let Some(late) = self.timers.forgive(now, pace::LATE) else { return };
