--- a/lab/src/fleet/checker.rs
+++ b/lab/src/fleet/checker.rs
@@ -34,6 +34,8 @@
     KnowsItsLimits,
     /// Whoever was stopped does not call half of those whom it reaches gone because of that.
     WakesGently,
+    /// An upgrade is a change of life, and nobody takes it for a death.
+    UpgradesGently,
     /// A view holds each member once, itself among them, and nobody who never was.
     WellFormed,
     /// No agent ends by itself.
@@ -42,13 +44,14 @@
 
 impl Rule {
     /// All.
-    pub const ALL: [Rule; 8] = [
+    pub const ALL: [Rule; 9] = [
         Rule::Settles,
         Rule::LivesRise,
         Rule::NobodyLost,
         Rule::DeathsKnown,
         Rule::KnowsItsLimits,
         Rule::WakesGently,
+        Rule::UpgradesGently,
         Rule::WellFormed,
         Rule::NoCrash,
     ];
@@ -62,6 +65,7 @@
             Rule::DeathsKnown => "deaths known",
             Rule::KnowsItsLimits => "knows its limits",
             Rule::WakesGently => "wakes gently",
+            Rule::UpgradesGently => "upgrades gently",
             Rule::WellFormed => "well formed",
             Rule::NoCrash => "no crash",
         }
@@ -143,6 +147,8 @@
     wrongly_gone_at: Vec<Option<f64>>,
     /// When it last went on after a stop, until it is found rash.
     woke: Option<f64>,
+    /// When another process of it last took over, while nothing else has been wrong since.
+    upgraded: Option<f64>,
     /// When it ended, while nothing else has been wrong since.
     died: Option<f64>,
     told: bool,
@@ -208,6 +214,7 @@
             lost_since: None,
             wrongly_gone_at: vec![None; plan.agents],
             woke: None,
+            upgraded: None,
             died: None,
             told: false,
         };
@@ -248,6 +255,8 @@
                 member.opinions = vec![None; agents];
                 member.since = at;
                 self.disturbed();
+                let quiet = self.network_changed.is_none_or(|changed| at - changed > BACK_WITHIN);
+                self.members[*m].upgraded = (self.is_calm() && quiet).then_some(at);
             }
             Entry::Ending(m) => self.members[*m].run = Run::Ending,
             Entry::Ended(m) | Entry::Crashed(m) => {
@@ -306,7 +315,7 @@
 
     /// Something else is wrong now: how long a death takes to be known is no longer stated.
     fn disturbed(&mut self) {
-        self.members.iter_mut().for_each(|m| m.died = None);
+        self.members.iter_mut().for_each(|m| (m.died, m.upgraded) = (None, None));
     }
 
     /// Nothing is wrong with the network, nobody is stopped.
@@ -324,6 +333,11 @@
                 format!("agent {observer} has gone back from life {} of {member} to {life}", before.life);
             self.breach(Rule::LivesRise, at, what);
         }
+        let upgraded = self.members[member].upgraded;
+        if belief == Belief::Gone && upgraded.is_some_and(|upgraded| at - upgraded < BACK_WITHIN) {
+            let what = format!("agent {observer} took the upgrade of {member} for a death");
+            self.breach(Rule::UpgradesGently, at, what);
+        }
         self.members[observer].opinions[member] = Some(Opinion { life, belief });
         let wrong = belief == Belief::Gone
             && self.members[member].run == Run::Awake
@@ -630,6 +644,20 @@
         assert!(verdict(&plan(vec![]), stopped).kept());
     }
 
+    #[test]
+    fn an_upgrade_that_is_taken_for_a_death_is_found() {
+        let upgrade = |belief: Belief| {
+            let mut more = vec![(20.0, Entry::Upgraded(2))];
+            more.push((20.2, Entry::Stands { observer: 2, life: 13, digest: 7, sure: true }));
+            more.extend([0, 1].map(|m| (20.2, says(2, m, 10 + m as u64, Belief::Alive))));
+            more.push((20.3, says(0, 2, 12, belief)));
+            more.extend([0, 1].map(|o| (20.4, says(o, 2, 13, Belief::Alive))));
+            verdict(&plan(vec![]), more)
+        };
+        assert!(upgrade(Belief::Suspect).kept(), "{:?}", upgrade(Belief::Suspect));
+        assert_eq!(broken(&upgrade(Belief::Gone)), [Rule::UpgradesGently]);
+    }
+
     #[test]
     fn one_that_is_cut_off_and_sure_is_found() {
         let cut = Fault { kind: Kind::Partition, at: 2.0, lasts: 30.0, members: vec![2], amount: 0.0 };
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -231,10 +231,11 @@
         let mut digest = None;
         running.iter().all(|m| {
             let Some(seen) = &book.latest[*m] else { return false };
-            let there = seen.lines.iter().filter(|(_, _, belief)| *belief != Belief::Gone).count();
+            let there = seen.lines.iter().filter(|(_, _, belief)| *belief == Belief::Alive).count();
+            let suspects = seen.lines.iter().any(|(_, _, belief)| *belief == Belief::Suspect);
             let same = *digest.get_or_insert(seen.digest) == seen.digest;
             let sure = seen.sure == (running.len() * 2 > self.plan.agents);
-            same && sure && there == running.len() && !self.slots[*m].stopped
+            same && sure && !suspects && there == running.len() && !self.slots[*m].stopped
         })
     }
 
--- a/lab/src/fleet/simulate.rs
+++ b/lab/src/fleet/simulate.rs
@@ -360,7 +360,10 @@
             let Some(view) = self.view(m) else { return true };
             let same = *digest.get_or_insert(view.digest()) == view.digest();
             let local = self.local(m);
-            let right = view.size() == running && view.is_sure(local) == (running * 2 > self.agents);
+            let lines = view.members(local);
+            let there = lines.iter().filter(|l| l.state == State::Alive).count();
+            let suspects = lines.iter().any(|l| l.state == State::Suspect);
+            let right = there == running && !suspects && view.is_sure(local) == (running * 2 > self.agents);
             same && right && !self.members[m].stopped
         })
     }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -172,6 +172,8 @@
             tokio::select! {
                 end = work(task) => end,
                 _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
+                // Agents that were started end with the lab, however it is told to end.
+                () = terminated() => Err("told to end".into()),
             }
         }),
         Err(e) => Err(format!("cannot start the runtime: {e}")),
@@ -186,6 +188,14 @@
     }
 }
 
+async fn terminated() {
+    use tokio::signal::unix::{signal, SignalKind};
+    match signal(SignalKind::terminate()) {
+        Ok(mut signal) => drop(signal.recv().await),
+        Err(_) => std::future::pending().await,
+    }
+}
+
 async fn work(task: Option<Task>) -> Result<bool, String> {
     match task {
         None => play("tour", &Size::default(), &AgentChoice::default(), None, None).await,
