End a storm of packets after a partition: answer nothing that was meant for an earlier identity

After the end of a partition two members exchanged the same two packets for ever, each faster than the last where packets were doubled.

Cause: view.rs told a suspect of the suspicion on every packet from it, also on one that was meant for an earlier identity of the receiver. The membership protocol reads nothing of such a packet, so that the contradiction in it was never learned, and the suspect, told again, contradicted again to the same old identity. Ruled out: TurnUndead between two who call each other gone (both renew), comparison of views (one answer a question), garbage.

Change: such a packet is answered with the present identity, once, and with nothing else. The network of the lab counts what each member sends in a second, and a rule of the judge (frugal, 800) finds floods; without the mend it finds this one, which is a test.

--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -540,7 +540,7 @@
 
     fn take_swim(&mut self, now: Duration, from: SocketAddr, body: &[u8]) -> Result<(), Dropped> {
         let header = self.words.decode_header(body).map_err(|_| Unreadable::UnknownWords)?;
-        let sender = header.src;
+        let (sender, meant) = (header.src, header.dst);
         if sender.address != from || !self.words.fits(&sender) || sender.number == self.me().number {
             return Err(Dropped::Stranger);
         }
@@ -561,6 +561,14 @@
         if !read {
             return Err(Unreadable::UnknownWords.into());
         }
+        let me = self.me().clone();
+        if meant.number == me.number && meant != me {
+            // The membership protocol reads nothing that was meant for an earlier identity. Whoever has not heard of the present
+            // one hears it now; a suspicion must not be told for such a packet, since nothing in it was believed, and the
+            // contradiction would come back the same way, for ever.
+            self.say(from, &Talk::Records(vec![Member::alive(me)]));
+            return Ok(());
+        }
         // Whoever is suspected hears so at once from all that it talks to, and can contradict.
         let suspect =
             self.swim.iter_members().find(|m| m.id() == &sender && m.state() == foca::State::Suspect);
--- a/lab/src/fleet/checker.rs
+++ b/lab/src/fleet/checker.rs
@@ -1,7 +1,7 @@
 //! Judges what the agents knew of one another, from the evidence alone.
 
 use crate::fleet::evidence::{Belief, Entry, Evidence};
-use crate::fleet::net::passes;
+use crate::fleet::net::{passes, SENT_MOST};
 use crate::fleet::plan::{Fault, Kind, Plan};
 use dilljunction_cluster::pace;
 use serde::Serialize;
@@ -38,13 +38,15 @@
     UpgradesGently,
     /// A view holds each member once, itself among them, and nobody who never was.
     WellFormed,
+    /// No agent sends more packets in a second than it may, whatever happens.
+    Frugal,
     /// No agent ends by itself.
     NoCrash,
 }
 
 impl Rule {
     /// All.
-    pub const ALL: [Rule; 9] = [
+    pub const ALL: [Rule; 10] = [
         Rule::Settles,
         Rule::LivesRise,
         Rule::NobodyLost,
@@ -53,6 +55,7 @@
         Rule::WakesGently,
         Rule::UpgradesGently,
         Rule::WellFormed,
+        Rule::Frugal,
         Rule::NoCrash,
     ];
 
@@ -67,6 +70,7 @@
             Rule::WakesGently => "wakes gently",
             Rule::UpgradesGently => "upgrades gently",
             Rule::WellFormed => "well formed",
+            Rule::Frugal => "frugal",
             Rule::NoCrash => "no crash",
         }
     }
@@ -176,7 +180,8 @@
             world.look(next_look);
             next_look += LOOK_EVERY;
         }
-        if !matches!(entry, Entry::Says { .. } | Entry::Stands { .. } | Entry::Odd { .. }) {
+        if !matches!(entry, Entry::Says { .. } | Entry::Stands { .. } | Entry::Odd { .. } | Entry::Flooded(_))
+        {
             last_fault = *at;
         }
         world.take(*at, entry);
@@ -307,6 +312,10 @@
                 let own = &mut self.members[*observer];
                 (own.own_life, own.digest, own.sure) = (Some(*life), *digest, *sure);
             }
+            Entry::Flooded(m) => {
+                let what = format!("agent {m} sent more than {SENT_MOST} packets in a second");
+                self.breach(Rule::Frugal, at, what);
+            }
             Entry::Odd { observer, what } => {
                 self.breach(Rule::WellFormed, at, format!("agent {observer}: {what}"))
             }
@@ -674,6 +683,7 @@
     fn odd_views_and_crashes_are_found() {
         let odd = vec![(2.0, Entry::Odd { observer: 1, what: "x".into() })];
         assert_eq!(broken(&verdict(&plan(vec![]), odd)), [Rule::WellFormed]);
+        assert_eq!(broken(&verdict(&plan(vec![]), vec![(2.0, Entry::Flooded(1))])), [Rule::Frugal]);
         assert!(broken(&verdict(&plan(vec![]), vec![(2.0, Entry::Crashed(1))])).contains(&Rule::NoCrash));
     }
 }
--- a/lab/src/fleet/evidence.rs
+++ b/lab/src/fleet/evidence.rs
@@ -68,6 +68,8 @@
         /// Whether it is sure.
         sure: bool,
     },
+    /// It has sent more packets in a second than it may.
+    Flooded(usize),
     /// `observer` said something that no view may say.
     Odd {
         /// Who.
--- a/lab/src/fleet/measure.rs
+++ b/lab/src/fleet/measure.rs
@@ -8,6 +8,8 @@
 
 /// How long is waited for what should have come long ago, as a multiple of the stated time.
 const PATIENCE: f64 = 3.0;
+/// How long the news of a start is passed on, in seconds.
+const CALM_AFTER: f64 = 60.0;
 /// How long a fleet is left alone to see what it costs, in seconds.
 const IDLE: f64 = 20.0;
 
@@ -65,6 +67,8 @@
             rows[row].took.push(took);
         };
         settle(&mut sim, 0);
+        let until = sim.now() + CALM_AFTER;
+        sim.run_until(until);
         let before = sim.net().carried;
         let idle_until = sim.now() + IDLE;
         sim.run_until(idle_until);
--- a/lab/src/fleet/net.rs
+++ b/lab/src/fleet/net.rs
@@ -11,6 +11,10 @@
 /// How much later a packet comes that is overtaken, in milliseconds.
 const OVERTAKEN_MS: std::ops::Range<f64> = 20.0..400.0;
 
+/// Packets that a member may send in a second, whatever happens: a process that goes on after a stop answers at once what
+/// has waited for it, a socket's buffer full, and what comes of that; the program's own bound is the same.
+pub const SENT_MOST: u32 = 800;
+
 /// A packet on its way, by members' numbers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Packet {
@@ -30,6 +34,11 @@
     first: Vec<Packet>,
     last: VecDeque<Packet>,
     random: fastrand::Rng,
+    /// What each member has sent in the present second.
+    sent: Vec<u32>,
+    second: u64,
+    /// Who has sent more than [`SENT_MOST`] in a second, and has not been taken note of.
+    pub flooding: Vec<usize>,
     /// What it took in, in packets and bytes.
     pub carried: (u64, u64),
 }
@@ -38,7 +47,9 @@
     /// One without faults.
     pub fn new(agents: usize, seed: u64) -> Net {
         let random = fastrand::Rng::with_seed(seed);
-        Net { agents, active: Vec::new(), first: Vec::new(), last: VecDeque::new(), random, carried: (0, 0) }
+        let (active, first, last) = (Vec::new(), Vec::new(), VecDeque::new());
+        let (sent, flooding) = (vec![0; agents], Vec::new());
+        Net { agents, active, first, last, random, sent, second: 0, flooding, carried: (0, 0) }
     }
 
     /// A fault begins; what comes at once because of it.
@@ -59,6 +70,18 @@
     /// The copies of a packet that arrive, each by how much later.
     pub fn carry(&mut self, packet: &Packet, now: f64) -> Vec<Duration> {
         self.carried.0 += 1;
+        if self.second != now as u64 {
+            self.second = now as u64;
+            self.sent.fill(0);
+        }
+        self.sent[packet.from] += 1;
+        if self.sent[packet.from] == SENT_MOST + 1 {
+            self.flooding.push(packet.from);
+        }
+        if self.sent[packet.from] > SENT_MOST * 10 {
+            // It is noted; a storm that feeds itself must not keep the lab from its end.
+            return Vec::new();
+        }
         self.carried.1 += packet.bytes.len() as u64;
         if self.first.len() < KEPT_FIRST {
             self.first.push(packet.clone());
@@ -155,7 +178,7 @@
         let mut net = Net::new(6, 1);
         assert_eq!(net.carry(&packet(0, 1), 0.0), [Duration::ZERO]);
         net.begin(0, &fault(Kind::Loss, &[], 0.3), 0.0);
-        let lost = (0..10_000).filter(|_| net.carry(&packet(0, 1), 0.0).is_empty()).count();
+        let lost = (0..10_000).filter(|i| net.carry(&packet(0, 1), f64::from(*i)).is_empty()).count();
         assert!((2_800..3_200).contains(&lost), "{lost}");
         net.end(0);
         net.begin(1, &fault(Kind::Delay, &[], 100.0), 0.0);
@@ -173,6 +196,16 @@
         assert_eq!(net.carry(&packet(0, 1), 0.0), [Duration::ZERO]);
     }
 
+    #[test]
+    fn whoever_sends_too_much_in_a_second_is_noted_once() {
+        let mut net = Net::new(3, 1);
+        (0..SENT_MOST).for_each(|_| drop(net.carry(&packet(0, 1), 0.5)));
+        (0..SENT_MOST).for_each(|_| drop(net.carry(&packet(0, 1), 1.5)));
+        assert!(net.flooding.is_empty());
+        (0..5).for_each(|_| drop(net.carry(&packet(0, 1), 1.6)));
+        assert_eq!(net.flooding, [0]);
+    }
+
     #[test]
     fn a_replay_brings_the_first_and_the_latest_again() {
         let mut net = Net::new(300, 1);
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -253,6 +253,8 @@
     }
 
     fn look_for_crashes(&mut self) {
+        let flooding = std::mem::take(&mut self.switch.net().flooding);
+        flooding.into_iter().for_each(|m| self.shared.write(Entry::Flooded(m)));
         for m in 0..self.slots.len() {
             let slot = &mut self.slots[m];
             if slot.process.as_mut().is_some_and(Process::has_ended) {
--- a/lab/src/fleet/simulate.rs
+++ b/lab/src/fleet/simulate.rs
@@ -293,6 +293,9 @@
                 break;
             }
             let Some(Reverse((at, _, what))) = self.queue.pop() else { break };
+            if let Some(flooding) = self.net.flooding.pop() {
+                self.write(Entry::Flooded(flooding));
+            }
             self.now_us = self.now_us.max(at);
             match what {
                 What::Arrives { to, from, bytes } => {
@@ -360,11 +363,11 @@
             let Some(view) = self.view(m) else { return true };
             let same = *digest.get_or_insert(view.digest()) == view.digest();
             let local = self.local(m);
-            let lines = view.members(local);
-            let there = lines.iter().filter(|l| l.state == State::Alive).count();
-            let suspects = lines.iter().any(|l| l.state == State::Suspect);
-            let right = there == running && !suspects && view.is_sure(local) == (running * 2 > self.agents);
-            same && right && !self.members[m].stopped
+            if !same || view.size() != running || self.members[m].stopped {
+                return false;
+            }
+            let suspects = view.members(local).iter().any(|l| l.state == State::Suspect);
+            !suspects && view.is_sure(local) == (running * 2 > self.agents)
         })
     }
 
@@ -460,6 +463,11 @@
             let verdict = judge(&plan, &run.evidence);
             assert!(verdict.kept(), "seed {seed}: {verdict:#?}\n{}", plan.text().unwrap());
         }
+        // At the end of a partition two members told each other of a suspicion for ever: each packet was meant for an earlier
+        // identity, and was answered all the same.
+        let storm = Plan::draw(61_121, 6);
+        let verdict = judge(&storm, &simulate(&storm, None).evidence);
+        assert!(verdict.kept(), "{verdict:#?}");
         let each = Plan::find("each-once").unwrap();
         let verdict = judge(&each, &simulate(&each, None).evidence);
         assert!(verdict.kept(), "{verdict:#?}");
