--- a/lab/src/emulate/agent.rs
+++ b/lab/src/emulate/agent.rs
@@ -97,6 +97,9 @@
         let mut actions = Vec::new();
         self.agents[agent].balancer.start(module_time(self.now), &mut actions);
         self.perform(agent, actions);
+        if self.world.view {
+            self.tell(agent, ryelead::Event::Balancers(self.world.agents as u32));
+        }
         if self.world.known {
             let lines = self.take_list(agent, None);
             self.tell(agent, ryelead::Event::List(ListUpdate::Saved(lines)));
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -78,6 +78,12 @@
         /// Every client has a patience of its own
         #[arg(long)]
         mixed: bool,
+        /// How many agents the configuration says that there are
+        #[arg(long, value_name = "N")]
+        told: Option<u32>,
+        /// Agents learn from their view of the fleet how many they are
+        #[arg(long)]
+        view: bool,
         /// Write verdict, service and reasons as JSON as well
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -212,9 +218,10 @@
             alone::start(name, listen, &to, rate, Clock::start(), Book::default()).await?;
             std::future::pending().await
         }
-        Some(Task::Emulate { world, size, mixed, json }) => {
+        Some(Task::Emulate { world, size, mixed, told, view, json }) => {
             let mut world = sized(&world, &size)?;
             world.clients.mixed |= mixed;
+            (world.told, world.view) = (told.or(world.told), view || world.view);
             emulate(&world, json.as_deref())
         }
         Some(Task::Tally { folder }) => tally(&folder),
--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -256,7 +256,7 @@
         "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": world.limits.memory_mb, "sockets": world.limits.sockets},
         "settings": {
-            "balancers": world.agents, "zone": index % zones.len(), "zones": zones, "kinds": ["standard-3core"],
+            "balancers": world.told.unwrap_or(world.agents as u32), "zone": index % zones.len(), "zones": zones, "kinds": ["standard-3core"],
             "discovery": "on_request", "classes": classes, "parties": parties, "overShareWorth": 0.1,
             "feedback": {"fields": ["qps", "latency_ms", "eps", "queue"], "source": "piggyback"},
             "goal": {"whole": 0.6, "worstWindow": 0.1, "worstClass": 0.2, "worstTenant": 0.1},
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -60,6 +60,12 @@
     /// Whether agents are told the list at their start.
     #[serde(default = "yes")]
     pub known: bool,
+    /// How many agents the configuration says that there are, right or wrong; as many as there are if left out.
+    #[serde(default)]
+    pub told: Option<u32>,
+    /// Whether agents learn from their view of the fleet how many they are; the emulator only, which takes it for settled.
+    #[serde(default)]
+    pub view: bool,
     /// How late the list is, in seconds: what happens to a server stands in it after this.
     #[serde(default = "list_late")]
     pub list_late: f64,
