--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -262,3 +262,24 @@
     });
     assert!(advice.is_some_and(|after| after >= Span::from_ms(250.0)), "{advice:?}");
 }
+
+/// How many balancers share the servers may be learned while it runs: what counts is the number that was told last.
+#[test]
+fn the_number_of_balancers_can_be_told_while_it_runs() {
+    // When the list is asked for again after a call that failed: the more there are, the further apart they ask.
+    let asks_after = |settled: u32, told: Option<u32>| -> usize {
+        let mut rig = Rig::new(Settings { discovery: Discovery::OnRequest, ..settings(settled) }, 3);
+        rig.list(fleet(4, 1, 1));
+        if let Some(number) = told {
+            rig.tell(Event::Balancers(number));
+        }
+        rig.tell(Event::List(ListUpdate::Failed));
+        let mut asked = (0..2_000).map(|_| rig.wait(Span::from_ms(5.0)));
+        asked.position(|actions| actions.iter().any(|a| matches!(a, Action::FetchList | Action::Follow { .. }))).expect("it asks again")
+    };
+    let alone = asks_after(1, None);
+    assert!(asks_after(100, None) > alone, "the number matters here");
+    assert_eq!(asks_after(1, Some(100)), asks_after(100, None));
+    assert_eq!(asks_after(100, Some(1)), alone);
+    assert_eq!(asks_after(7, Some(0)), alone, "nobody is fewer than one");
+}
