--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -275,7 +275,11 @@
         }
         rig.tell(Event::List(ListUpdate::Failed));
         let mut asked = (0..2_000).map(|_| rig.wait(Span::from_ms(5.0)));
-        asked.position(|actions| actions.iter().any(|a| matches!(a, Action::FetchList | Action::Follow { .. }))).expect("it asks again")
+        asked
+            .position(|actions| {
+                actions.iter().any(|a| matches!(a, Action::FetchList | Action::Follow { .. }))
+            })
+            .expect("it asks again")
     };
     let alone = asks_after(1, None);
     assert!(asks_after(100, None) > alone, "the number matters here");
