--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -21,7 +21,7 @@
     /// Switch on what a file under deploy/ names (TOML); may be repeated
     #[arg(long = "with", value_name = "FILE")]
     with: Vec<PathBuf>,
-    /// Allow a table [trial], which makes this agent's clocks wrong for tests
+    /// Allow a trial table, which makes this agent's clocks wrong for tests
     #[arg(long)]
     trial: bool,
     #[command(subcommand)]
