--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Several processes of the program that know of one another, and faults between them.
 
 use dilljunction_lab::fleet::checker::Rule;
-use dilljunction_lab::fleet::evidence::Entry;
+use dilljunction_lab::fleet::evidence::{Belief, Entry};
 use dilljunction_lab::fleet::plan::{Act, Clocks, Plan};
 use dilljunction_lab::fleet::rig::{Outcome, Rig};
 use dilljunction_lab::standins::hand::program;
@@ -67,3 +67,21 @@
     // A judge that has seen nothing would keep everything.
     assert!(!outcome.verdict.deaths_known_after.is_empty() && outcome.verdict.count(Rule::Settles) == 0);
 }
+
+/// Two processes of one agent, one address for datagrams: the others see one change of life each time, and never a death.
+#[test]
+fn upgrades_are_changes_of_life_and_no_deaths() {
+    let outcome = play(Plan::find("upgrades").unwrap());
+    assert!(outcome.verdict.kept(), "{:#?}", outcome.verdict);
+    for upgraded in 0..3 {
+        let said = outcome.evidence.entries.iter().filter_map(|(_, entry)| match entry {
+            Entry::Says { observer: 8, member, life, belief } if *member == upgraded => {
+                Some((*life, *belief))
+            }
+            _ => None,
+        });
+        let said: Vec<_> = said.collect();
+        assert!(said.first().map(|s| s.0) < said.last().map(|s| s.0), "{upgraded}: {said:?}");
+        assert!(said.iter().all(|(_, belief)| *belief != Belief::Gone), "{upgraded}: {said:?}");
+    }
+}
