--- a/agent/tests/worlds.rs
+++ b/agent/tests/worlds.rs
@@ -1,9 +1,10 @@
 //! The agent's own program in the lab's worlds: it keeps every rule where agents that are broken on purpose do not, and in
 //! short forms of the shipped worlds. Judged by rules and counts, never by speed.
 
+use dilljunction_lab::judge::checker::Rule;
 use dilljunction_lab::judge::evidence::{End, Evidence};
 use dilljunction_lab::standins::hand::program;
-use dilljunction_lab::world::agents::Subject;
+use dilljunction_lab::world::agents::{Subject, Upgrade};
 use dilljunction_lab::world::proofs::PROOFS;
 use dilljunction_lab::world::run::{run_on_time, Outcome};
 use dilljunction_lab::world::World;
@@ -165,7 +166,7 @@
 /// Every fault that has a name is caused by it, and the agent outlives it with all rules kept.
 #[test]
 fn every_fault_by_its_name_breaks_no_rule() {
-    const FAULTS: [&str; 24] = [
+    const FAULTS: [&str; 27] = [
         "kind = 'slow'\nfor = 1\nservers = ['a-1']\nfactor = 6",
         "kind = 'hang'\nfor = 1\nservers = ['a-1', 'b-1']",
         "kind = 'crash'\nfor = 0.5\nservers = ['a-*']",
@@ -190,6 +191,9 @@
         "kind = 'list-late'\nfor = 1\nlatency_ms = 300",
         "kind = 'list-moves'",
         "kind = 'kill'\nfor = 0.2\nagents = ['agent-1']",
+        "kind = 'upgrade'\nfor = 0.8\nevery = 1\nagents = ['agent-1']",
+        "kind = 'upgrade'\nfor = 0.8\nevery = 0.6\nnew = 'killed'\nagents = ['agent-1']",
+        "kind = 'drain-agent'\nfor = 1\nagents = ['agent-1']",
     ];
     for few in FAULTS.chunks(6) {
         let worlds = few.iter().map(|fault| std::thread::spawn(move || (*fault, play(with_fault(fault)))));
@@ -200,6 +204,57 @@
     }
 }
 
+/// A shipped world of operators' days, shorter: the first so many seconds of it, with fewer servers.
+fn beginning(name: &str, seconds: f64) -> World {
+    let mut world = World::find(name).unwrap();
+    world.building.iter_mut().for_each(|b| b.servers = 2);
+    (world.rate, world.seconds) = (120.0, seconds);
+    world.fault.retain(|f| f.at < seconds - 3.0);
+    for fault in &mut world.fault {
+        fault.lasts = fault.lasts.map(|lasts| lasts.min(seconds - 3.0 - fault.at));
+    }
+    world.check().unwrap();
+    world
+}
+
+/// Two processes of an agent are one to every rule: new ones that come well, are killed in the middle, are never ready, and such
+/// as take clients beside the old one for a while.
+#[test]
+fn new_processes_every_few_seconds_lose_nothing() {
+    let outcome = play(beginning("upgrade", 14.0));
+    let lost = |agent: usize| {
+        let tries = outcome.evidence.tries.iter().filter(move |t| t.agent == agent);
+        tries.filter(|t| matches!(t.end, End::Closed | End::Silent | End::Broken | End::Unsent)).count()
+    };
+    // Those of agent 2 are killed with what they have taken.
+    assert_eq!((lost(0), lost(1), lost(3)), (0, 0, 0));
+    let descriptors = outcome.frames.iter().flat_map(|f| f.agents.iter().flatten()).map(|u| u.descriptors);
+    assert!(descriptors.max().unwrap_or(usize::MAX) <= outcome.world.limits.sockets);
+}
+
+/// The checker sees what an upgrade loses: a platform that kills the old process in place of telling it.
+#[test]
+fn an_upgrade_that_cuts_the_old_process_off_is_found() {
+    let mut world = beginning("upgrade", 8.0);
+    world.fault.truncate(1);
+    (world.fault[0].new, world.fault[0].every) = (Some(Upgrade::CutOff), Some(1.0));
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let subject = Subject::Program(program(), Vec::new());
+    let _place = Place::take();
+    let outcome = runtime.block_on(run_on_time(world, subject, 4)).unwrap();
+    assert!(outcome.verdict.count(Rule::OneAnswer) > 0, "{:#?}", outcome.verdict);
+}
+
+/// Clients are sent away from one agent, which empties while the others serve, and come back to it.
+#[test]
+fn an_agent_that_operators_empty_is_empty_in_time_and_comes_back() {
+    let outcome = play(beginning("drain-agent", 14.0));
+    let seen: Vec<bool> = outcome.evidence.emptied.iter().map(|e| e.away).collect();
+    assert_eq!(seen, [true, false], "{:?}", outcome.evidence.emptied);
+    let unsent = outcome.evidence.tries.iter().filter(|t| t.end == End::Unsent).count();
+    assert_eq!(unsent, 0);
+}
+
 /// A world that stands without offices tells where everything is.
 #[test]
 fn a_stage_names_all_that_stands_on_it() {
--- a/lab/src/emulate/mod.rs
+++ b/lab/src/emulate/mod.rs
@@ -535,7 +535,7 @@
 /// The settings of an agent in a building, read from what a real one would be started with.
 fn settings_of(world: &World, zone: usize) -> Settings {
     let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    let config = agents::config(world, zone, nowhere, None, 0);
+    let config = agents::config(world, zone, nowhere, None, 0, &[]);
     let file: ryelead_settings::SettingsFile =
         serde_json::from_value(config["settings"].clone()).unwrap_or_default();
     file.settings()
--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -2,11 +2,10 @@
 
 use crate::fleet::evidence::{Belief, Seen};
 use crate::fleet::plan::{Clocks, Knows};
-use crate::world::agents::{usage, Usage};
+use crate::world::agents::{command, says_yes, usage, Usage};
 use serde::Deserialize;
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -89,16 +88,7 @@
             let trial = write(&format!("{name}.toml"), trial)?;
             arguments.extend(["--with".into(), trial.display().to_string(), "--trial".into()]);
         }
-        let mut command = match listener {
-            None => Command::new(&ground.program),
-            Some(listener) => {
-                let mut shell = Command::new("sh");
-                let socket = OwnedFd::from(listener.try_clone().map_err(|e| of(&e))?);
-                shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"]).arg(&ground.program);
-                shell.stdin(Stdio::from(socket)).env("LB_LISTEN_FD", "7");
-                shell
-            }
-        };
+        let mut command = command(&ground.program, listener).map_err(|e| of(&e))?;
         command
             .args(&arguments)
             .env("LB_CONFIG", path)
@@ -108,9 +98,6 @@
         for other in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN"] {
             command.env_remove(other);
         }
-        if listener.is_none() {
-            command.env_remove("LB_LISTEN_FD").stdin(Stdio::null());
-        }
         let mut child =
             command.spawn().map_err(|e| format!("cannot start {}: {e}", ground.program.display()))?;
         let upgrade = listener.is_some() && peers_at.is_some();
@@ -233,7 +220,7 @@
 
 /// True if the process there takes clients.
 pub async fn takes_clients(admin: SocketAddr) -> bool {
-    get(admin, "/healthcheck").await.is_some()
+    says_yes(admin, "/healthcheck").await
 }
 
 /// What the agent there says of the fleet.
--- a/lab/src/judge/checker.rs
+++ b/lab/src/judge/checker.rs
@@ -6,6 +6,7 @@
 //! | no double effect | a request that may have run is sent again, or refused, beyond what its class allows; a key that takes effect twice |
 //! | drains kept | a first byte at a server later than the grace after its agent was told that it drains or is gone |
 //! | cold spared | a cold server is sent more than the stated multiple of what it can do, two thirds of it by agents that knew |
+//! | agent emptied | 4 s after its clients were sent away an agent says that it is ready, or holds a connection that rests; 2 s after they are wanted back it does not say so |
 //! | answered at once | a refusal that was sat on: past the wanted time, with nothing out for a while |
 //!
 //! What the checker does not hold against an agent: what it had taken when the world killed it; an answer that crossed
@@ -46,12 +47,20 @@
     ColdSpared,
     /// A request that is given up is answered at once.
     AnsweredAtOnce,
+    /// An agent whose clients are sent away is empty in time, and takes them back in time.
+    AgentEmptied,
 }
 
 impl Rule {
     /// All of them, in their order.
-    pub const ALL: [Rule; 5] =
-        [Rule::OneAnswer, Rule::NoDoubleEffect, Rule::DrainsKept, Rule::ColdSpared, Rule::AnsweredAtOnce];
+    pub const ALL: [Rule; 6] = [
+        Rule::OneAnswer,
+        Rule::NoDoubleEffect,
+        Rule::DrainsKept,
+        Rule::ColdSpared,
+        Rule::AnsweredAtOnce,
+        Rule::AgentEmptied,
+    ];
 
     /// What it asks, in a few words.
     pub fn name(self) -> &'static str {
@@ -61,6 +70,7 @@
             Rule::DrainsKept => "drains kept",
             Rule::ColdSpared => "cold spared",
             Rule::AnsweredAtOnce => "answered at once",
+            Rule::AgentEmptied => "agent emptied",
         }
     }
 }
@@ -131,6 +141,7 @@
     bench.effects();
     bench.drains();
     bench.cold();
+    bench.emptied();
     bench.verdict
 }
 
@@ -148,6 +159,21 @@
         self.evidence.outages.iter().any(|o| o.agent == agent && o.from <= to && from <= o.to)
     }
 
+    fn emptied(&mut self) {
+        for seen in &self.evidence.emptied {
+            let wrong = if seen.away { seen.ready || seen.resting > 0 } else { !seen.ready };
+            if wrong {
+                let (when, says) = if seen.away {
+                    ("clients sent away", if seen.ready { "yes" } else { "no" })
+                } else {
+                    ("clients wanted back", "no")
+                };
+                let text = format!("{when}: readiness says {says}, {} connections rest", seen.resting);
+                self.breach(Rule::AgentEmptied, &format!("agent-{}", seen.agent), seen.at, text);
+            }
+        }
+    }
+
     fn answers(&mut self) {
         let evidence = self.evidence;
         let by_call = evidence.attempts_by_call();
@@ -419,7 +445,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::judge::evidence::{Life, Outage, Silence, Stray, Told};
+    use crate::judge::evidence::{Emptied, Life, Outage, Silence, Stray, Told};
 
     const MS: u64 = 1000;
 
@@ -495,6 +521,16 @@
         Evidence { tries, attempts, ..Evidence::default() }
     }
 
+    #[test]
+    fn an_agent_that_is_not_empty_in_time_or_does_not_come_back_is_found() {
+        let seen = |away, ready, resting| {
+            let emptied = vec![Emptied { agent: 0, at: At(9 * MS), away, ready, resting }];
+            count(&Evidence { emptied, ..Evidence::default() }, Rule::AgentEmptied)
+        };
+        assert_eq!((seen(true, false, 0), seen(false, true, 3)), (0, 0));
+        assert_eq!((seen(true, true, 0), seen(true, false, 1), seen(false, false, 0)), (1, 1, 1));
+    }
+
     #[test]
     fn what_was_taken_and_not_answered_is_lost_unless_the_agent_was_killed_or_nobody_waited() {
         let mut evidence = of(vec![a_try(0, End::Closed, 300)], Vec::new());
--- a/lab/src/judge/evidence.rs
+++ b/lab/src/judge/evidence.rs
@@ -219,6 +219,21 @@
     pub to: At,
 }
 
+/// What was seen of an agent that operators have sent the clients of away, or wanted them back for.
+#[derive(Debug, Clone, Copy)]
+pub struct Emptied {
+    /// Who.
+    pub agent: AgentIndex,
+    /// When it was looked at.
+    pub at: At,
+    /// Whether the clients are to be away.
+    pub away: bool,
+    /// Whether it says that it is ready for clients.
+    pub ready: bool,
+    /// Clients' connections to it that rest open.
+    pub resting: usize,
+}
+
 /// Everything that was written down.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -236,6 +251,8 @@
     pub strays: Vec<Stray>,
     /// Agents that were killed.
     pub outages: Vec<Outage>,
+    /// What was seen of agents that were emptied.
+    pub emptied: Vec<Emptied>,
     /// Links that said nothing.
     pub silences: Vec<Silence>,
     /// How late the lab itself was at worst: what it should have done at a moment, it did this much later.
@@ -293,6 +310,7 @@
             [&mut t.sent, &mut t.resent].into_iter().for_each(maybe);
         }
         self.strays.iter_mut().for_each(|s| shift(&mut s.at));
+        self.emptied.iter_mut().for_each(|e| shift(&mut e.at));
         self.silences.iter_mut().for_each(|s| {
             [&mut s.from, &mut s.to].into_iter().for_each(shift);
         });
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -78,12 +78,6 @@
         /// Every client has a patience of its own
         #[arg(long)]
         mixed: bool,
-        /// How many agents the configuration says that there are
-        #[arg(long, value_name = "N")]
-        told: Option<u32>,
-        /// Agents learn from their view of the fleet how many they are
-        #[arg(long)]
-        view: bool,
         /// Write verdict, service and reasons as JSON as well
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
@@ -158,6 +152,12 @@
     /// Descriptors of each agent
     #[arg(long)]
     sockets: Option<usize>,
+    /// How many agents the configuration says that there are
+    #[arg(long, value_name = "N")]
+    told: Option<u32>,
+    /// Agents keep a view of the fleet and learn from it how many they are
+    #[arg(long)]
+    view: bool,
 }
 
 #[derive(Args, Default)]
@@ -218,10 +218,9 @@
             alone::start(name, listen, &to, rate, Clock::start(), Book::default()).await?;
             std::future::pending().await
         }
-        Some(Task::Emulate { world, size, mixed, told, view, json }) => {
+        Some(Task::Emulate { world, size, mixed, json }) => {
             let mut world = sized(&world, &size)?;
             world.clients.mixed |= mixed;
-            (world.told, world.view) = (told.or(world.told), view || world.view);
             emulate(&world, json.as_deref())
         }
         Some(Task::Tally { folder }) => tally(&folder),
@@ -268,6 +267,7 @@
     world.seed = size.seed.unwrap_or(world.seed);
     world.limits.memory_mb = size.memory_mb.unwrap_or(world.limits.memory_mb);
     world.limits.sockets = size.sockets.unwrap_or(world.limits.sockets);
+    (world.told, world.view) = (size.told.or(world.told), size.view || world.view);
     world.check().map_err(|(key, reason)| format!("{name}: {key}: {reason}"))?;
     Ok(world)
 }
@@ -336,6 +336,10 @@
 }
 
 fn emulate(world: &World, json: Option<&Path>) -> Result<bool, String> {
+    if let Some((place, kind)) = world.fault_of_processes() {
+        let name = &world.name;
+        return Err(format!("{name}: fault[{place}].kind: {kind} happens to processes; `run` plays it"));
+    }
     println!("{}: {}, in virtual time", world.name, world.about);
     let started = Instant::now();
     let shows = std::io::stderr().is_terminal();
--- a/lab/src/standins/office.rs
+++ b/lab/src/standins/office.rs
@@ -4,7 +4,7 @@
 use crate::clock::{At, Clock};
 use crate::judge::evidence::{fingerprint, AgentIndex, Book, ClassFacts, Effect, End, Group, Stray, Try};
 use crate::standins::http::{Broken, Reader};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -191,6 +191,8 @@
     clock: Clock,
     book: Book,
     agents: Mutex<Vec<SocketAddr>>,
+    /// Agents to which the front sends no new connection.
+    away: Mutex<HashSet<AgentIndex>>,
     lines: Vec<Lines>,
     /// By what factor each office sends more than usual.
     floods: watch::Sender<Vec<f64>>,
@@ -240,6 +242,7 @@
             clock,
             book,
             agents: Mutex::new(agents),
+            away: Mutex::default(),
             lines,
             floods,
             under_way: AtomicUsize::new(0),
@@ -255,6 +258,31 @@
         self.0.floods.send_modify(|floods| floods[office] = factor);
     }
 
+    /// The front sends no new connection to an agent, or does so again. Clients go on using those that are open.
+    pub fn send_away(&self, agent: AgentIndex, away: bool) {
+        let mut agents = locked(&self.0.away);
+        if away {
+            agents.insert(agent);
+        } else {
+            agents.remove(&agent);
+        }
+    }
+
+    /// Clients' connections to an agent that rest open.
+    pub fn resting(&self, agent: AgentIndex) -> usize {
+        locked(&self.0.lines[agent].0).iter().filter(|idle| !seen_on(idle).1).count()
+    }
+
+    /// The agent that a client of this one comes to now: another where the front sends nothing there and no connection is left.
+    fn front(&self, agent: AgentIndex) -> AgentIndex {
+        let away = locked(&self.0.away);
+        if !away.contains(&agent) || locked(&self.0.lines[agent].0).iter().any(|idle| !seen_on(idle).1) {
+            return agent;
+        }
+        let agents = self.0.lines.len();
+        (1..agents).map(|n| (agent + n) % agents).find(|other| !away.contains(other)).unwrap_or(agent)
+    }
+
     /// Tries under way.
     pub fn under_way(&self) -> usize {
         self.0.under_way.load(Ordering::Relaxed)
@@ -317,6 +345,7 @@
         let give_up = client.give_up;
         loop {
             let leaves = client.leaves();
+            order.agent = self.front(order.agent);
             let call = format!("c{}", self.0.names.fetch_add(1, Ordering::Relaxed));
             let (Sent { sent, resent }, end) = self.ask(&order, &call, give_up, leaves).await;
             let ended = self.0.clock.now();
@@ -442,12 +471,7 @@
 
     /// True if a connection can't be used: closed, or with an answer on it that nobody asked for.
     fn look_for_strays(&self, agent: AgentIndex, idle: &Idle) -> bool {
-        let stream: &TcpStream = idle.reader.input().as_ref();
-        let peeked = socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit(); 1]);
-        let (waiting, closed) = match peeked {
-            Ok(n) => (n > 0, n == 0),
-            Err(e) => (false, e.kind() != std::io::ErrorKind::WouldBlock),
-        };
+        let (waiting, closed) = seen_on(idle);
         let stray = waiting || idle.reader.unread() > 0;
         if stray {
             let (call, at) = (idle.last.clone(), self.0.clock.now());
@@ -457,6 +481,15 @@
     }
 }
 
+/// Whether bytes wait on a connection that rests, and whether it was closed.
+fn seen_on(idle: &Idle) -> (bool, bool) {
+    let stream: &TcpStream = idle.reader.input().as_ref();
+    match socket2::SockRef::from(stream).peek(&mut [std::mem::MaybeUninit::uninit(); 1]) {
+        Ok(n) => (n > 0, n == 0),
+        Err(e) => (false, e.kind() != std::io::ErrorKind::WouldBlock),
+    }
+}
+
 fn name_of(end: &End) -> &'static str {
     match end {
         End::Served(_) => "served",
--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -4,17 +4,26 @@
 use crate::world::broken::{Broken, Flaw};
 use crate::world::{EffectName, World};
 use serde_json::{json, Value};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
+use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::{sleep, timeout};
 
 /// An agent must listen, and know a list, within this.
 const START_WAIT: Duration = Duration::from_secs(30);
+/// A new process says within this that it takes clients, or it is no use.
+const YES_WAIT: Duration = Duration::from_secs(6);
+/// An old process that was told to end is killed after this: the longest deadline and a little more.
+const OLD_ENDS: Duration = Duration::from_millis(3_700);
+/// How often a process is asked whether it takes clients.
+const ASK_EVERY: Duration = Duration::from_millis(20);
 
 /// What stands between offices and servers.
 #[derive(Debug, Clone)]
@@ -29,8 +38,40 @@
 pub struct Agent {
     /// Where clients connect.
     pub address: SocketAddr,
+    /// Where operators call, if they do.
+    pub admin: Option<SocketAddr>,
+    /// Where other agents reach it, if they do.
+    pub peers_at: Option<SocketAddr>,
     running: Running,
+    /// Processes of it besides: new ones that clients do not have yet, old ones on their way out.
+    besides: Vec<Besides>,
     setup: Setup,
+    /// The clients' socket, where the platform holds it.
+    held: Option<Arc<TcpListener>>,
+    starts: usize,
+}
+
+struct Besides {
+    child: Child,
+    /// It was told to end; when it is killed if it has not.
+    until: Option<Instant>,
+}
+
+/// How the platform brings a new process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Upgrade {
+    /// It says yes, and the old one is told to end.
+    #[default]
+    Well,
+    /// It is killed soon after its start, whatever it has taken by then.
+    Killed,
+    /// It knows no list and is told none, never says yes, and is killed in the end.
+    NeverReady,
+    /// It says yes, and the old one is told to end only two seconds later: both take clients.
+    BothAtOnce,
+    /// It says yes, and the old one is killed and not told: what that had taken is lost, which the checker must find.
+    CutOff,
 }
 
 enum Running {
@@ -50,6 +91,8 @@
     pub config: Value,
     /// Where its files go.
     pub folder: PathBuf,
+    /// The platform holds the clients' socket, and operators call.
+    pub held: bool,
 }
 
 /// What the machine says of a process.
@@ -66,44 +109,117 @@
 impl Agent {
     /// Starts an agent and waits until it listens.
     pub async fn start(setup: Setup, listen: Option<SocketAddr>) -> Result<Agent, String> {
+        let held = if setup.held && matches!(setup.subject, Subject::Program(..)) {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let listener = TcpListener::bind(listen.unwrap_or(any));
+            Some(Arc::new(listener.map_err(|e| format!("agent-{}: no socket to hold: {e}", setup.index))?))
+        } else {
+            None
+        };
+        Agent::begin(setup, listen, held, 0).await
+    }
+
+    async fn begin(
+        setup: Setup,
+        listen: Option<SocketAddr>,
+        held: Option<Arc<TcpListener>>,
+        starts: usize,
+    ) -> Result<Agent, String> {
         let mut config = setup.config.clone();
         if let Some(listen) = listen {
             config["listen"] = json!(listen.to_string());
         }
-        let name = format!("agent-{}", setup.index);
-        let (address, running) = match &setup.subject {
-            Subject::Broken(flaw) => {
-                let broken = Broken::start(*flaw, &config).await.map_err(|e| format!("{name}: {e}"))?;
-                (broken.address(), Running::Broken(broken))
+        let Subject::Broken(flaw) = &setup.subject else {
+            let launched = launch(&setup, config, held.as_deref(), starts, false).await?;
+            let Launched { child, address, admin, peers_at } = launched;
+            let running = Running::Program(child);
+            return Ok(Agent { address, admin, peers_at, running, besides: Vec::new(), setup, held, starts });
+        };
+        let broken =
+            Broken::start(*flaw, &config).await.map_err(|e| format!("agent-{}: {e}", setup.index))?;
+        let (address, running) = (broken.address(), Running::Broken(broken));
+        Ok(Agent { address, admin: None, peers_at: None, running, besides: Vec::new(), setup, held, starts })
+    }
+
+    /// Starts a new process beside the one that clients have, with what it is told now: the platform's way to a new version.
+    /// `kill_after` is for [`Upgrade::Killed`]. True unless the new process should have come to take clients and did not.
+    pub async fn upgrade(
+        agent: &AsyncMutex<Agent>,
+        mut config: Value,
+        manner: Upgrade,
+        kill_after: Duration,
+    ) -> Result<bool, String> {
+        let (setup, held, starts) = {
+            let mut agent = agent.lock().await;
+            agent.starts += 1;
+            if manner == Upgrade::NeverReady {
+                // Nobody listens there, and it knows nobody to send to.
+                config["discovery"] = json!("127.0.0.1:9");
+                config.as_object_mut().map(|c| c.remove("known"));
             }
-            Subject::Program(program, arguments) => {
-                let path = setup.folder.join(format!("{name}.json"));
-                std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
-                let mut child = Command::new(program)
-                    .args(arguments)
-                    .env("LB_CONFIG", &path)
-                    .env_remove("LB_LISTEN")
-                    .env_remove("LB_DISCOVERY")
-                    .stdin(Stdio::null())
-                    .stdout(Stdio::null())
-                    .stderr(Stdio::piped())
-                    .kill_on_drop(true)
-                    .spawn()
-                    .map_err(|e| format!("cannot start {}: {e}", program.display()))?;
-                let address = timeout(START_WAIT, listening(&mut child, &setup.folder, &name)).await;
-                let address =
-                    address.map_err(|_| format!("{name} does not listen within {START_WAIT:?}"))??;
-                (address, Running::Program(child))
+            if let Some(at) = agent.peers_at {
+                config["peer_listen"] = json!(at.to_string());
             }
+            let Some(held) = agent.held.clone() else { return Ok(true) };
+            (Setup { config, ..agent.setup.clone() }, held, agent.starts)
         };
-        Ok(Agent { address, running, setup })
+        let launched = launch(&setup, setup.config.clone(), Some(&held), starts, true).await?;
+        let id = launched.child.id();
+        let Some(admin) = launched.admin else { return Err("no door for operators".into()) };
+        agent.lock().await.besides.push(Besides { child: launched.child, until: None });
+        let says_yes = async {
+            while !says_yes(admin, "/healthcheck").await {
+                sleep(ASK_EVERY).await;
+            }
+        };
+        let came = match manner {
+            Upgrade::Killed => {
+                sleep(kill_after).await;
+                false
+            }
+            _ => timeout(YES_WAIT, says_yes).await.is_ok(),
+        };
+        if manner == Upgrade::BothAtOnce {
+            sleep(Duration::from_secs(2)).await;
+        }
+        let mut agent = agent.lock().await;
+        let Some(place) = agent.besides.iter().position(|b| b.child.id() == id) else { return Ok(came) };
+        let mut new = agent.besides.remove(place);
+        if !came {
+            let _ = new.child.kill().await;
+            return Ok(manner == Upgrade::Killed || manner == Upgrade::NeverReady);
+        }
+        let old = std::mem::replace(&mut agent.running, Running::Program(new.child));
+        agent.admin = Some(admin);
+        agent.setup.config = setup.config;
+        if let Running::Program(mut child) = old {
+            if manner == Upgrade::CutOff {
+                let _ = child.kill().await;
+                return Ok(true);
+            }
+            signal(&child, "-TERM").await;
+            agent.besides.push(Besides { child, until: Some(Instant::now() + OLD_ENDS) });
+        }
+        Ok(manner != Upgrade::NeverReady)
+    }
+
+    /// Kills old processes whose time is over, and forgets those that have ended.
+    pub async fn kill_late(&mut self) {
+        for mut besides in std::mem::take(&mut self.besides) {
+            let late = besides.until.is_some_and(|until| Instant::now() > until);
+            match besides.child.try_wait() {
+                Ok(None) if late => drop(besides.child.kill().await),
+                Ok(None) => self.besides.push(besides),
+                _ => {}
+            }
+        }
     }
 
     /// Waits until it is ready for requests.
     pub async fn ready(&self) -> Result<(), String> {
         let ask = async {
             loop {
-                if is_ready(self.address).await {
+                if says_yes(self.address, "/health/ready").await {
                     return;
                 }
                 sleep(Duration::from_millis(10)).await;
@@ -121,13 +237,16 @@
             Running::Broken(broken) => drop(broken),
             Running::Nothing => {}
         }
+        for mut besides in self.besides.drain(..) {
+            let _ = besides.child.kill().await;
+        }
     }
 
     /// Starts it again under its address, with what it is told now.
     pub async fn restart(&mut self, config: Value) -> Result<(), String> {
         self.kill().await;
         let setup = Setup { config, ..self.setup.clone() };
-        *self = Agent::start(setup, Some(self.address)).await?;
+        *self = Agent::begin(setup, Some(self.address), self.held.clone(), self.starts + 1).await?;
         Ok(())
     }
 
@@ -136,7 +255,7 @@
         self.setup.config["discovery"] = json!(address.to_string());
         let Running::Program(child) = &self.running else { return Ok(()) };
         let Some(id) = child.id() else { return Ok(()) };
-        let path = self.setup.folder.join(format!("agent-{}.json", self.setup.index));
+        let path = self.setup.folder.join(format!("agent-{}-{}.json", self.setup.index, self.starts));
         let new = path.with_extension("new");
         std::fs::write(&new, self.setup.config.to_string()).map_err(|e| e.to_string())?;
         std::fs::rename(&new, &path).map_err(|e| e.to_string())?;
@@ -161,20 +280,107 @@
         }
     }
 
-    /// What the machine says of its process; nothing for one in this process.
+    /// What the machine says of its processes, together; nothing for one in this process.
     pub fn usage(&self) -> Option<Usage> {
         let Running::Program(child) = &self.running else { return None };
-        usage(child.id()?)
+        let besides = self.besides.iter().filter_map(|b| usage(b.child.id()?));
+        Some(besides.fold(usage(child.id()?)?, |sum, more| Usage {
+            rss_kib: sum.rss_kib + more.rss_kib,
+            cpu_ms: sum.cpu_ms + more.cpu_ms,
+            descriptors: sum.descriptors + more.descriptors,
+        }))
+    }
+}
+
+/// The program's command, with the clients' socket that the platform holds.
+pub fn command(program: &Path, held: Option<&TcpListener>) -> std::io::Result<Command> {
+    let Some(held) = held else {
+        let mut command = Command::new(program);
+        command.env_remove("LB_LISTEN_FD").stdin(Stdio::null());
+        return Ok(command);
+    };
+    let mut shell = Command::new("sh");
+    shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"]).arg(program);
+    shell.stdin(Stdio::from(OwnedFd::from(held.try_clone()?))).env("LB_LISTEN_FD", "7");
+    Ok(shell)
+}
+
+async fn signal(child: &Child, name: &str) {
+    if let Some(id) = child.id() {
+        let _ = Command::new("kill").args([name, &id.to_string()]).status().await;
+    }
+}
+
+struct Launched {
+    child: Child,
+    address: SocketAddr,
+    admin: Option<SocketAddr>,
+    peers_at: Option<SocketAddr>,
+}
+
+/// Starts a process of an agent and waits until it has said where it listens. One that comes beside another is not waited for
+/// until it has taken over the address for other agents.
+async fn launch(
+    setup: &Setup,
+    mut config: Value,
+    held: Option<&TcpListener>,
+    starts: usize,
+    beside: bool,
+) -> Result<Launched, String> {
+    let Subject::Program(program, arguments) = &setup.subject else { return Err("no program".into()) };
+    let name = format!("agent-{}-{starts}", setup.index);
+    let of = |e: &dyn std::fmt::Display| format!("{name}: {e}");
+    if let Some(held) = held {
+        config["listen"] = json!(held.local_addr().map_err(|e| of(&e))?.to_string());
+        config["admin"] = json!("127.0.0.1:0");
     }
+    let path = setup.folder.join(format!("{name}.json"));
+    std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut command = command(program, held).map_err(|e| of(&e))?;
+    command.args(arguments);
+    if config.get("peer_listen").is_some() {
+        // One for each process: another one may be reading.
+        let fleet = setup.folder.join(format!("{name}.toml"));
+        std::fs::write(&fleet, "[fleet]\n").map_err(|e| of(&e))?;
+        command.arg("--with").arg(fleet);
+    }
+    let mut child = command
+        .env("LB_CONFIG", &path)
+        .env_remove("LB_LISTEN")
+        .env_remove("LB_DISCOVERY")
+        .env_remove("LB_ADMIN")
+        .env_remove("LB_NAME")
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .map_err(|e| format!("cannot start {}: {e}", program.display()))?;
+    let waits_for_peers = !beside && config.get("peer_listen").is_some();
+    let said = timeout(START_WAIT, listening(&mut child, &setup.folder, &name, waits_for_peers)).await;
+    let (address, admin, peers_at) =
+        said.map_err(|_| format!("{name} does not listen within {START_WAIT:?}"))??;
+    Ok(Launched { child, address, admin, peers_at })
 }
 
-async fn listening(child: &mut Child, folder: &Path, name: &str) -> Result<SocketAddr, String> {
+type Addresses = (SocketAddr, Option<SocketAddr>, Option<SocketAddr>);
+
+async fn listening(
+    child: &mut Child,
+    folder: &Path,
+    name: &str,
+    waits_for_peers: bool,
+) -> Result<Addresses, String> {
     let stderr = child.stderr.take().ok_or("no log")?;
     let mut lines = BufReader::new(stderr).lines();
     let mut last = String::new();
+    let (mut clients, mut admin, mut peers_at) = (None, None, None);
+    let address =
+        |line: &str, words: &str| line.split_once(words).and_then(|(_, address)| address.trim().parse().ok());
     while let Ok(Some(line)) = lines.next_line().await {
-        if let Some((_, address)) = line.split_once("listening on ") {
-            let address = address.trim().parse().map_err(|e| format!("{name}: {line}: {e}"))?;
+        clients = address(&line, "listening on ").or(clients);
+        admin = address(&line, "operators call at ").or(admin);
+        peers_at = address(&line, "other agents reach this one at ").or(peers_at);
+        if let Some(clients) = clients.filter(|_| !waits_for_peers || peers_at.is_some()) {
             // The log is read to its end, or a full pipe would stop the agent; the last of it is kept for people.
             let path = folder.join(format!("{name}.log"));
             tokio::spawn(async move {
@@ -187,17 +393,28 @@
                     }
                 }
             });
-            return Ok(address);
+            return Ok((clients, admin, peers_at));
         }
         last = line;
     }
     Err(format!("{name} has ended at its start: {last}"))
 }
 
-async fn is_ready(address: SocketAddr) -> bool {
+/// Whether a process answers a question with yes.
+pub async fn says_yes(address: SocketAddr, path: &str) -> bool {
+    is_answered(address, "GET", path).await
+}
+
+/// Gives a process an order at its operators' address; whether it took it.
+pub async fn order(address: SocketAddr, path: &str) -> bool {
+    is_answered(address, "POST", path).await
+}
+
+async fn is_answered(address: SocketAddr, method: &str, path: &str) -> bool {
     let ask = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
-        let text = "GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let text =
+            format!("{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
         stream.write_all(text.as_bytes()).await.ok()?;
         let mut status = [0; 12];
         stream.read_exact(&mut status).await.ok()?;
@@ -226,6 +443,7 @@
     discovery: SocketAddr,
     known: Option<&str>,
     seed: u64,
+    peers: &[SocketAddr],
 ) -> Value {
     let classes: Vec<Value> = world
         .class
@@ -271,6 +489,12 @@
             "periodMs": 1, "weights": "silent", "worthBy": "request"
         }
     });
+    if !peers.is_empty() {
+        config["peers"] = json!(peers);
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["settings"]["slotNo"] = json!(index);
+        config["settings"]["limits"]["peers"] = json!(true);
+    }
     if let Some(known) = known.and_then(|text| serde_json::from_str::<Value>(text).ok()) {
         config["known"] = known;
     }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -15,12 +15,13 @@
 use crate::standins::discovery::Ailment;
 use crate::standins::link::Direction;
 use crate::standins::office::{Habits, Office, Plan};
+use crate::world::agents::Upgrade;
 use serde::Deserialize;
 use std::path::Path;
 use std::time::Duration;
 
 /// The worlds that come with the lab.
-pub const SHIPPED: [(&str, &str); 8] = [
+pub const SHIPPED: [(&str, &str); 11] = [
     ("tour", include_str!("../../worlds/tour.toml")),
     ("calm", include_str!("../../worlds/calm.toml")),
     ("flood", include_str!("../../worlds/flood.toml")),
@@ -29,6 +30,9 @@
     ("restart-storm", include_str!("../../worlds/restart-storm.toml")),
     ("rolling-drain", include_str!("../../worlds/rolling-drain.toml")),
     ("everything", include_str!("../../worlds/everything.toml")),
+    ("upgrade", include_str!("../../worlds/upgrade.toml")),
+    ("drain-agent", include_str!("../../worlds/drain-agent.toml")),
+    ("garbage", include_str!("../../worlds/garbage.toml")),
 ];
 
 /// The largest world file, in bytes.
@@ -63,7 +67,7 @@
     /// How many agents the configuration says that there are, right or wrong; as many as there are if left out.
     #[serde(default)]
     pub told: Option<u32>,
-    /// Whether agents learn from their view of the fleet how many they are; the emulator only, which takes it for settled.
+    /// Whether agents keep a view of the fleet and learn from it how many they are; the emulator takes it for settled.
     #[serde(default)]
     pub view: bool,
     /// How late the list is, in seconds: what happens to a server stands in it after this.
@@ -210,6 +214,12 @@
     Kill,
     /// Agents are stopped in the middle of whatever they do, and go on after `for` seconds.
     Stall,
+    /// A new process of an agent comes beside the old one, again `every` so many seconds for `for` seconds; `new` says how.
+    Upgrade,
+    /// Operators send the agents' clients away, and want them back after `for` seconds.
+    DrainAgent,
+    /// Garbage comes to the agents at the address for other agents, `factor` packets a second.
+    Garbage,
 }
 
 /// Something that goes wrong.
@@ -258,11 +268,23 @@
     /// Whether they close without a word.
     #[serde(default)]
     pub silently: bool,
+    /// How a new process goes.
+    pub new: Option<Upgrade>,
+    /// How often it happens again, in seconds.
+    pub every: Option<f64>,
     /// How long each of several servers waits for the one before, in seconds: a rolling fault.
     #[serde(default)]
     pub stagger: f64,
 }
 
+impl Kind {
+    /// Whether it happens to agents.
+    fn is_of_agents(self) -> bool {
+        use Kind::*;
+        matches!(self, List | ListLate | ListMoves | Kill | Stall | Upgrade | DrainAgent | Garbage)
+    }
+}
+
 impl Fault {
     /// A few words for pictures and the live view.
     pub fn label(&self) -> String {
@@ -402,6 +424,19 @@
         (0..self.agents).filter(|n| hit(&format!("agent-{n}"))).collect()
     }
 
+    /// The first fault that happens to processes, which no emulation has: its place, and its kind's word.
+    pub fn fault_of_processes(&self) -> Option<(usize, String)> {
+        let of_processes = |f: &Fault| matches!(f.kind, Kind::Upgrade | Kind::DrainAgent | Kind::Garbage);
+        let place = self.fault.iter().position(of_processes)?;
+        Some((place, serde_name(self.fault[place].kind)))
+    }
+
+    /// Whether the platform holds the clients' socket of an agent, and operators call it.
+    pub fn is_operated(&self, agent: usize) -> bool {
+        let operated = |f: &&Fault| matches!(f.kind, Kind::Upgrade | Kind::DrainAgent);
+        self.fault.iter().filter(operated).any(|f| self.agents_named(&f.agents).contains(&agent))
+    }
+
     /// The classes as rules and service see them.
     pub fn class_facts(&self) -> Vec<ClassFacts> {
         let ms = |ms: f64| Duration::from_secs_f64(ms / 1e3);
@@ -536,12 +571,12 @@
         let servers =
             matches!(fault.kind, Slow | Hang | Crash | Restart | Drain | Break | CrashAt | Reports | Idle);
         let building = matches!(fault.kind, Cut | HalfOpen | CutAfter | Reset | Line);
-        let agents = matches!(fault.kind, List | ListLate | ListMoves | Kill | Stall);
-        let needs: [(&str, bool, bool); 14] = [
+        let agents = fault.kind.is_of_agents();
+        let needs: [(&str, bool, bool); 16] = [
             ("servers", !fault.servers.is_empty(), servers),
             ("building", fault.building.is_some(), building),
             ("office", fault.office.is_some(), fault.kind == Flood),
-            ("factor", fault.factor.is_some(), matches!(fault.kind, Slow | Flood)),
+            ("factor", fault.factor.is_some(), matches!(fault.kind, Slow | Flood | Garbage)),
             ("odds", fault.odds.is_some(), fault.kind == Break),
             ("point", fault.point.is_some(), matches!(fault.kind, Break | CrashAt)),
             ("reports", fault.reports.is_some(), fault.kind == Reports),
@@ -550,7 +585,13 @@
             ("bytes", fault.bytes.is_some(), fault.kind == CutAfter),
             ("direction", fault.direction.is_some(), matches!(fault.kind, CutAfter | HalfOpen)),
             ("idle_ms", fault.idle_ms.is_some(), fault.kind == Idle),
-            ("for", fault.lasts.is_some() || !matches!(fault.kind, Kill | Stall), true),
+            (
+                "for",
+                fault.lasts.is_some() || !matches!(fault.kind, Kill | Stall | Upgrade | DrainAgent),
+                true,
+            ),
+            ("every", fault.every.is_some(), fault.kind == Upgrade),
+            ("new", fault.new.is_some(), fault.kind == Upgrade),
             ("at", fault.at >= 0.0 && fault.lasts.is_none_or(|f| f >= 0.0) && fault.stagger >= 0.0, true),
         ];
         for (key, there, needed) in needs {
@@ -576,8 +617,15 @@
         if fault.office.as_ref().is_some_and(|o| self.office.iter().all(|known| known.name != *o)) {
             return no("office", "no such office".into());
         }
-        if fault.factor.is_some_and(|f| !(0.01..=1000.0).contains(&f)) {
-            return no("factor", "must lie between 0.01 and 1000".into());
+        let most = if fault.kind == Garbage { 200_000.0 } else { 1_000.0 };
+        if fault.factor.is_some_and(|f| !(0.01..=most).contains(&f)) {
+            return no("factor", format!("must lie between 0.01 and {most}"));
+        }
+        if fault.kind == Garbage && !self.view {
+            return no("kind", "garbage comes to agents that have a view: view = true".into());
+        }
+        if fault.every.is_some_and(|every| every < 0.5) {
+            return no("every", "must be half a second at least".into());
         }
         if fault.odds.is_some_and(|o| !(0.0..=1.0).contains(&o)) {
             return no("odds", "must lie between 0 and 1".into());
--- a/lab/src/world/run.rs
+++ b/lab/src/world/run.rs
@@ -2,14 +2,15 @@
 //! everybody wrote down is judged.
 
 use crate::clock::{At, Clock};
+use crate::fleet::switch::Switch;
 use crate::judge::checker::{judge, Verdict};
-use crate::judge::evidence::{Book, Evidence, Outage, Silence, Word};
+use crate::judge::evidence::{Book, Emptied, Evidence, Outage, Silence, Word};
 use crate::judge::service::{count, Service};
 use crate::standins::booking::{self, Booking, Look, Repeats, Reports, Work};
 use crate::standins::discovery::{told_at_start, Ailment, Entry, Registry, View};
 use crate::standins::link::{Links, Manner};
 use crate::standins::office::{watch_lag, Offices};
-use crate::world::agents::{self, Agent, Setup, Subject, Usage};
+use crate::world::agents::{self, Agent, Setup, Subject, Upgrade, Usage};
 use crate::world::{Fault, Kind, World};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,6 +28,14 @@
 const SETTLE: Duration = Duration::from_millis(400);
 /// After a link is whole again, what was stuck in it takes this long to come through.
 const HEAL: Duration = Duration::from_millis(300);
+/// A new process that is killed is so within this from its start: before it says yes, or just after.
+const KILLED_WITHIN: Duration = Duration::from_millis(300);
+/// The front learns within this that an agent is not ready, and sends it no new connection.
+const FRONT_KNOWS: Duration = Duration::from_millis(300);
+/// An agent whose clients are sent away is empty within this.
+const EMPTY_WITHIN: Duration = Duration::from_secs(4);
+/// And ready again within this, once they are wanted back.
+const BACK_WITHIN: Duration = Duration::from_secs(2);
 /// Agents that are started at once.
 const STARTING_MOST: usize = 16;
 /// Beyond these the lab ran late, and gives no figure.
@@ -89,9 +98,14 @@
     addresses: Vec<SocketAddr>,
     active: Arc<Mutex<Vec<String>>>,
     restarting: Arc<AtomicUsize>,
+    /// Agents of which a new process did not come to take clients.
+    failed: Arc<Mutex<Vec<usize>>>,
     seed: Arc<Mutex<fastrand::Rng>>,
     tasks: JoinSet<()>,
     folder: Folder,
+    /// What carries datagrams between agents, where they keep a view, and their addresses there.
+    switch: Option<Arc<Switch>>,
+    peers: Arc<Vec<SocketAddr>>,
 }
 
 /// A folder of this run, removed at its end.
@@ -169,7 +183,15 @@
             let view = View::start(agent, registry.clone(), endpoints, any, clock, book.clone()).await;
             views.push(view.map_err(failed("discovery"))?);
         }
+        let switch = if world.view && matches!(subject, Subject::Program(..)) {
+            Some(Arc::new(Switch::start(world.agents, world.seed, None).await?))
+        } else {
+            None
+        };
+        let peers = Arc::new(switch.as_ref().map_or(Ok(Vec::new()), |s| s.addresses())?);
         let mut stage = Stage {
+            switch,
+            peers,
             clock,
             book,
             registry,
@@ -180,6 +202,7 @@
             addresses: Vec::new(),
             active: Arc::default(),
             restarting: Arc::default(),
+            failed: Arc::default(),
             seed: Arc::new(Mutex::new(random)),
             tasks: JoinSet::new(),
             folder,
@@ -194,7 +217,9 @@
         let mut started: Vec<Option<Agent>> = (0..self.world.agents).map(|_| None).collect();
         for index in 0..self.world.agents {
             let config = self.config(index);
-            let setup = Setup { index, subject: subject.clone(), config, folder: self.folder.0.clone() };
+            let held = self.world.is_operated(index);
+            let folder = self.folder.0.clone();
+            let setup = Setup { index, subject: subject.clone(), config, folder, held };
             while starting.len() >= STARTING_MOST {
                 settle(&mut starting, &mut started).await?;
             }
@@ -207,8 +232,11 @@
         while !starting.is_empty() {
             settle(&mut starting, &mut started).await?;
         }
-        for agent in started.into_iter().flatten() {
+        for (index, agent) in started.into_iter().flatten().enumerate() {
             self.addresses.push(agent.address);
+            if let Some((switch, at)) = self.switch.as_ref().zip(agent.peers_at) {
+                switch.place(index, at);
+            }
             self.agents.push(Arc::new(AsyncMutex::new(agent)));
         }
         Ok(())
@@ -224,7 +252,7 @@
             self.book.open().told.extend(told);
             self.registry.known(view.endpoints())
         });
-        agents::config(&self.world, index, view.address(), known.as_deref(), seed)
+        agents::config(&self.world, index, view.address(), known.as_deref(), seed, &self.peers)
     }
 
     /// Names and addresses of everything, for people and other programs.
@@ -276,7 +304,10 @@
                     links: self.links.clone(),
                     offices: offices.cloned(),
                     restarting: Arc::clone(&self.restarting),
+                    failed: Arc::clone(&self.failed),
                     seed: Arc::clone(&self.seed),
+                    switch: self.switch.clone(),
+                    peers: Arc::clone(&self.peers),
                     fault: fault.clone(),
                 };
                 let (active, label) = (Arc::clone(&self.active), fault.label());
@@ -306,7 +337,7 @@
     fn targets(&self, fault: &Fault) -> Vec<Target> {
         let none = Target { server: None, agent: None };
         match fault.kind {
-            Kind::List | Kind::ListLate | Kind::ListMoves | Kind::Kill | Kind::Stall => {
+            kind if kind.is_of_agents() => {
                 let agents = self.world.agents_named(&fault.agents);
                 agents.into_iter().map(|a| Target { agent: Some(a), ..none }).collect()
             }
@@ -322,7 +353,13 @@
         let mut usages = Vec::new();
         for agent in &self.agents {
             // One that is being started again has no figures.
-            usages.push(agent.try_lock().ok().and_then(|agent| agent.usage()));
+            usages.push(match agent.try_lock() {
+                Ok(mut agent) => {
+                    agent.kill_late().await;
+                    agent.usage()
+                }
+                Err(_) => None,
+            });
         }
         Frame {
             at: self.clock.now().since(zero).as_secs_f64(),
@@ -374,7 +411,10 @@
     links: Links,
     offices: Option<Offices>,
     restarting: Arc<AtomicUsize>,
+    failed: Arc<Mutex<Vec<usize>>>,
     seed: Arc<Mutex<fastrand::Rng>>,
+    switch: Option<Arc<Switch>>,
+    peers: Arc<Vec<SocketAddr>>,
     fault: Fault,
 }
 
@@ -451,6 +491,8 @@
                     }
                 }
                 Kind::Kill => self.kill(agent, view, to).await,
+                Kind::Upgrade => self.upgrade(agent, view, to).await,
+                Kind::DrainAgent => self.send_away(agent).await,
                 Kind::Stall => {
                     // What it could not answer meanwhile is the world's doing.
                     let (from, agent_index) = (self.clock.now(), self.agent.as_ref().map_or(0, |a| a.0));
@@ -458,6 +500,7 @@
                     self.book.open().outages.push(Outage { agent: agent_index, from, to });
                     agent.lock().await.stall(true).await;
                 }
+                Kind::Garbage => self.garbage(true),
                 _ => {}
             }
         }
@@ -481,6 +524,20 @@
         self.flood(fault.factor.unwrap_or(1.0));
     }
 
+    /// Garbage comes to the agent at the address for other agents, or does no longer.
+    fn garbage(&self, comes: bool) {
+        use crate::fleet::plan::{Fault, Kind};
+        let (Some((index, ..)), Some(switch)) = (&self.agent, &self.switch) else { return };
+        if comes {
+            let amount = self.fault.factor.unwrap_or(1.0);
+            let fault = Fault { kind: Kind::Garbage, at: 0.0, lasts: 0.0, members: vec![*index], amount };
+            let now = switch.now();
+            switch.net().begin(*index, &fault, now);
+        } else {
+            switch.net().end(*index);
+        }
+    }
+
     fn flood(&self, factor: f64) {
         let place = |name: &String| self.world.office.iter().position(|o| o.name == *name);
         if let (Some(offices), Some(office)) = (&self.offices, self.fault.office.as_ref().and_then(place)) {
@@ -503,19 +560,86 @@
         if let Some(to) = to {
             self.clock.until(to).await;
         }
+        if let Err(fault) = agent.restart(self.config(*index, view)).await {
+            eprintln!("{fault}");
+        }
+        if let Some((switch, at)) = self.switch.as_ref().zip(agent.peers_at) {
+            switch.place(*index, at);
+        }
+        self.book.open().outages[place].to = self.clock.now();
+        self.restarting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// What an agent is told when a process of it starts now, and the note that it was told.
+    fn config(&self, index: usize, view: &View) -> serde_json::Value {
         let seed = self.seed.lock().unwrap_or_else(PoisonError::into_inner).u64(..);
         let known = self.world.known.then(|| {
             let servers: Vec<_> =
                 (0..self.world.servers().len()).map(|s| (s, self.registry.word(s))).collect();
-            self.book.open().told.extend(told_at_start(*index, &servers, self.clock.now()));
+            self.book.open().told.extend(told_at_start(index, &servers, self.clock.now()));
             self.registry.known(view.endpoints())
         });
-        let config = agents::config(&self.world, *index, view.address(), known.as_deref(), seed);
-        if let Err(fault) = agent.restart(config).await {
-            eprintln!("{fault}");
+        agents::config(&self.world, index, view.address(), known.as_deref(), seed, &self.peers)
+    }
+
+    /// Brings new processes of an agent beside the old one, one after the other, until its time is over.
+    async fn upgrade(&self, agent: &Arc<AsyncMutex<Agent>>, view: &View, to: Option<At>) {
+        let Some((index, ..)) = &self.agent else { return };
+        let (manner, every) = (self.fault.new.unwrap_or_default(), self.fault.every.unwrap_or(2.0));
+        let mut next = self.clock.now();
+        while to.is_none_or(|to| next < to) {
+            self.clock.until(next).await;
+            next = next.plus(Duration::from_secs_f64(every));
+            let kill_after = {
+                let mut random = self.seed.lock().unwrap_or_else(PoisonError::into_inner);
+                Duration::from_secs_f64(KILLED_WITHIN.as_secs_f64() * random.f64())
+            };
+            let came = Agent::upgrade(agent, self.config(*index, view), manner, kill_after).await;
+            if manner == Upgrade::Killed {
+                // What it had taken by then is lost, and that is the world's doing.
+                let now = self.clock.now();
+                self.book.open().outages.push(Outage { agent: *index, from: now, to: now });
+            }
+            match came {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.failed.lock().unwrap_or_else(PoisonError::into_inner).push(*index);
+                }
+                Err(fault) => {
+                    eprintln!("{fault}");
+                    self.failed.lock().unwrap_or_else(PoisonError::into_inner).push(*index);
+                }
+            }
         }
-        self.book.open().outages[place].to = self.clock.now();
-        self.restarting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Sends an agent's clients away, and looks whether it is empty in time.
+    async fn send_away(&self, agent: &Arc<AsyncMutex<Agent>>) {
+        let (Some((index, ..)), Some(offices)) = (&self.agent, &self.offices) else { return };
+        let from = self.clock.now();
+        let Some(admin) = agent.lock().await.admin else { return };
+        agents::order(admin, "/healthcheck/fail").await;
+        self.clock.until(from.plus(FRONT_KNOWS)).await;
+        offices.send_away(*index, true);
+        self.clock.until(from.plus(EMPTY_WITHIN)).await;
+        self.look(*index, agent, offices, true).await;
+    }
+
+    async fn call_back(&self, agent: &Arc<AsyncMutex<Agent>>) {
+        let (Some((index, ..)), Some(offices)) = (&self.agent, &self.offices) else { return };
+        let from = self.clock.now();
+        let Some(admin) = agent.lock().await.admin else { return };
+        agents::order(admin, "/healthcheck/ok").await;
+        self.clock.until(from.plus(BACK_WITHIN)).await;
+        self.look(*index, agent, offices, false).await;
+        offices.send_away(*index, false);
+    }
+
+    async fn look(&self, index: usize, agent: &Arc<AsyncMutex<Agent>>, offices: &Offices, away: bool) {
+        let address = agent.lock().await.address;
+        let ready = agents::says_yes(address, "/health/ready").await;
+        let (resting, at) = (offices.resting(index), self.clock.now());
+        self.book.open().emptied.push(Emptied { agent: index, at, away, ready, resting });
     }
 
     async fn end(&self) {
@@ -538,6 +662,8 @@
                 Kind::List => view.ail(Ailment::None),
                 Kind::ListLate => view.delay(Duration::ZERO),
                 Kind::Stall => agent.lock().await.stall(false).await,
+                Kind::DrainAgent => self.call_back(agent).await,
+                Kind::Garbage => self.garbage(false),
                 _ => {}
             }
         }
@@ -612,6 +738,7 @@
         }
     }
     stage.tasks.abort_all();
+    crashed.extend(stage.failed.lock().unwrap_or_else(PoisonError::into_inner).drain(..));
     let evidence = std::mem::take(&mut *stage.book.open()).since(zero);
     let late = evidence.lag_p99 > LATE_P99 || evidence.lag_most > LATE_MOST;
     let (verdict, service) = (judge(&evidence, &world.rules()), count(&evidence, &world.terms()));
