--- a/agent/tests/worlds.rs
+++ b/agent/tests/worlds.rs
@@ -191,7 +191,7 @@
         "kind = 'list-late'\nfor = 1\nlatency_ms = 300",
         "kind = 'list-moves'",
         "kind = 'kill'\nfor = 0.2\nagents = ['agent-1']",
-        "kind = 'upgrade'\nfor = 0.8\nevery = 1\nagents = ['agent-1']",
+        "kind = 'upgrade'\nfor = 0.8\nevery = 1\nnew = 'well'\nagents = ['agent-1']",
         "kind = 'upgrade'\nfor = 0.8\nevery = 0.6\nnew = 'killed'\nagents = ['agent-1']",
         "kind = 'drain-agent'\nfor = 1\nagents = ['agent-1']",
     ];
