Two processes of one agent share their connections through TMPDIR

Seen: a crowd of 150 half heads on 56 seats is held 114 strong by two real processes together (test, with the share switched off).

Change: agent/src/share: a pure rule for claims, and locked files of 21 bytes; only where the platform holds the clients' socket.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -7,10 +7,11 @@
 use crate::fronts::admin;
 use crate::fronts::plain::intake::{Catalogue, Class};
 use crate::fronts::plain::server::Server;
-use crate::lifecycle::LifeCycle;
+use crate::lifecycle::{LifeCycle, Phase};
 use crate::list::Commands;
 use crate::log::{log, log_events};
 use crate::peers::Peers;
+use crate::share::file::{Holds, Share};
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
 use crate::upstream::pool::Pool;
@@ -107,6 +108,18 @@
             None => listen(config.listen).await?,
         };
         let address = listener.local_addr().map_err(|e| e.to_string())?;
+        if inherited {
+            // Two processes are one agent for a while.
+            let whole = (config.client_connections, config.backend_connections);
+            let mut share = Share::new(&std::env::temp_dir(), address, whole);
+            let connections = Connections {
+                server: Rc::clone(&server),
+                clients: Rc::clone(&clients),
+                driver: driver.clone(),
+            };
+            share.step(&connections);
+            tasks.push(task(share.run(connections)));
+        }
         let mut peers = None;
         if let Some(config) = config.peers {
             log_events(config.json());
@@ -187,6 +200,28 @@
     }
 }
 
+/// What this process holds, for the other one of its agent.
+struct Connections {
+    server: Rc<Server>,
+    clients: Rc<Clients>,
+    driver: Driver,
+}
+
+impl Holds for Connections {
+    fn held(&self) -> (usize, usize) {
+        (self.server.connections(), self.driver.pool().count())
+    }
+
+    fn allow(&self, clients: usize, servers: usize) {
+        self.server.allow(clients);
+        self.driver.pool().allow(servers);
+    }
+
+    fn is_leaving(&self) -> bool {
+        matches!(self.clients.phase(), Phase::Stopping(_) | Phase::HandingOver(_))
+    }
+}
+
 async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
 }
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -122,7 +122,8 @@
         self.tally().clone().tell(period, levels).await;
     }
 
-    fn pool(&self) -> &Pool {
+    /// The connections to servers.
+    pub fn pool(&self) -> &Pool {
         self.0.backends.pool()
     }
 
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use ryelead::{RequestId, Span};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -44,7 +45,7 @@
     catalogue: Catalogue,
     seats: Seats,
     open: Gauge,
-    open_most: usize,
+    open_most: Cell<usize>,
     /// Beyond so many, those that rest are closed; and beyond so many, all after their answer.
     crowd: (usize, usize),
 }
@@ -58,15 +59,21 @@
         (open_most, crowd): (usize, (usize, usize)),
     ) -> Rc<Self> {
         let (seats, open) = Default::default();
+        let open_most = Cell::new(open_most);
         Rc::new(Server { driver, clients, catalogue, seats, open, open_most, crowd })
     }
 
+    /// No more connections than so many from now on.
+    pub fn allow(&self, most: usize) {
+        self.open_most.set(most);
+    }
+
     /// Accepts connections until dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
             // is made before it is needed.
-            while self.open.count() >= self.open_most {
+            while self.open.count() >= self.open_most.get() {
                 self.seats.make_room();
                 let _ = timeout(ACCEPT_PAUSE, self.seats.left()).await;
             }
--- /dev/null
+++ b/agent/src/share/file.rs
@@ -0,0 +1,261 @@
+//! The processes of one agent tell each other through small files in the platform's folder for temporary files: one for each,
+//! named after the clients' socket, locked as long as its process lives. A file that nobody locks is a dead process's, and is
+//! removed; one that can't be read says what it last said. Where the folder is of no use the process keeps its whole share, as
+//! where it is alone.
+
+use super::{limit, may_stand, next_claim, Said, Side};
+use crate::log::log;
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// How often the others are looked for while there are none, and how often while there are some.
+const LOOK_ALONE: Duration = Duration::from_millis(100);
+const LOOK_TOGETHER: Duration = Duration::from_millis(20);
+/// Processes that are listened to: the platform runs two.
+const OTHERS_MOST: usize = 8;
+/// Bytes of a file: the version, four numbers, and their sum.
+const LENGTH: usize = 1 + 5 * 4;
+const VERSION: u8 = 1;
+
+/// What connections a process may hold, and does.
+pub trait Holds {
+    /// How many are open to clients and to servers.
+    fn held(&self) -> (usize, usize);
+    /// No more than so many from now on.
+    fn allow(&self, clients: usize, servers: usize);
+    /// Whether this process takes no clients any more.
+    fn is_leaving(&self) -> bool;
+}
+
+/// This process's place among those of its agent.
+pub struct Share {
+    folder: PathBuf,
+    prefix: String,
+    own: Option<(PathBuf, File)>,
+    said: Said,
+    whole: (usize, usize),
+    last: HashMap<PathBuf, Said>,
+}
+
+impl Share {
+    /// A place in `folder` beside other processes that take clients at `listen`, of so many connections to clients and to servers.
+    pub fn new(folder: &Path, listen: SocketAddr, whole: (usize, usize)) -> Share {
+        let prefix = format!("dilljunction-{}-{}-", listen.ip(), listen.port()).replace(':', "_");
+        let path = folder.join(format!("{prefix}{}", std::process::id()));
+        let own = match open(&path) {
+            Ok(file) => Some((path, file)),
+            Err(e) => {
+                log(&format!("{}: {e}: another process of this agent is not noticed", path.display()));
+                None
+            }
+        };
+        let folder = folder.to_path_buf();
+        Share { folder, prefix, own, said: Said::default(), whole, last: HashMap::new() }
+    }
+
+    /// Shares for as long as the process lives.
+    pub async fn run(mut self, holds: impl Holds) {
+        loop {
+            let alone = self.step(&holds);
+            tokio::time::sleep(if alone { LOOK_ALONE } else { LOOK_TOGETHER }).await;
+        }
+    }
+
+    /// Looks at the others once; true if there are none.
+    pub fn step(&mut self, holds: &impl Holds) -> bool {
+        let (clients, servers) = holds.held();
+        (self.said.clients.held, self.said.servers.held) = (clients, servers);
+        let before = self.said;
+        let others = self.others();
+        let leaving = holds.is_leaving();
+        let sides = |of: fn(&Said) -> Side, others: &[Said]| others.iter().map(of).collect::<Vec<Side>>();
+        self.said.clients.claim =
+            next_claim(self.whole.0, before.clients, &sides(|s| s.clients, &others), leaving);
+        // What it owes on its way out may still have to ask a server.
+        self.said.servers.claim =
+            next_claim(self.whole.1, before.servers, &sides(|s| s.servers, &others), false);
+        self.say();
+        let (rises_clients, rises_servers) =
+            (self.said.clients.claim > before.clients.claim, self.said.servers.claim > before.servers.claim);
+        if rises_clients || rises_servers {
+            let others = self.others();
+            let (of_clients, of_servers) = (sides(|s| s.clients, &others), sides(|s| s.servers, &others));
+            if rises_clients && !may_stand(self.whole.0, self.said.clients.claim, &of_clients) {
+                self.said.clients.claim = before.clients.claim;
+            }
+            if rises_servers && !may_stand(self.whole.1, self.said.servers.claim, &of_servers) {
+                self.said.servers.claim = before.servers.claim;
+            }
+            self.say();
+        }
+        holds.allow(
+            limit(self.whole.0, self.said.clients.claim, &sides(|s| s.clients, &others)),
+            limit(self.whole.1, self.said.servers.claim, &sides(|s| s.servers, &others)),
+        );
+        others.is_empty()
+    }
+
+    fn say(&self) {
+        if let Some((_, file)) = &self.own {
+            // A full disk: the others go by what was said last.
+            let _ = file.write_all_at(&encode(&self.said), 0);
+        }
+    }
+
+    /// What the others that live say.
+    fn others(&mut self) -> Vec<Said> {
+        let Some((own, _)) = &self.own else { return Vec::new() };
+        let Ok(entries) = std::fs::read_dir(&self.folder) else { return Vec::new() };
+        let named = |path: &PathBuf| {
+            path.file_name().and_then(|n| n.to_str()).is_some_and(|n| n.starts_with(&self.prefix))
+        };
+        let paths = entries.filter_map(|e| Some(e.ok()?.path())).filter(|p| named(p) && p != own);
+        let paths: Vec<PathBuf> = paths.take(OTHERS_MOST).collect();
+        self.last.retain(|path, _| paths.contains(path));
+        for path in paths {
+            match read(&path) {
+                Found::Dead => {
+                    self.last.remove(&path);
+                    let _ = std::fs::remove_file(&path);
+                }
+                Found::Says(said) => drop(self.last.insert(path, said)),
+                Found::Unreadable => {}
+            }
+        }
+        self.last.values().copied().collect()
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        if let Some((path, _)) = &self.own {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+fn open(path: &Path) -> std::io::Result<File> {
+    let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
+    file.try_lock().map_err(std::io::Error::from)?;
+    file.write_all_at(&encode(&Said::default()), 0)?;
+    Ok(file)
+}
+
+enum Found {
+    /// Nobody holds it.
+    Dead,
+    Says(Said),
+    /// Half written, or of another kind.
+    Unreadable,
+}
+
+fn read(path: &Path) -> Found {
+    let Ok(mut file) = File::open(path) else { return Found::Dead };
+    match file.try_lock_shared() {
+        Ok(()) => return Found::Dead,
+        Err(TryLockError::WouldBlock) => {}
+        Err(TryLockError::Error(_)) => return Found::Unreadable,
+    }
+    let mut bytes = [0; LENGTH];
+    match file.read_exact(&mut bytes) {
+        Ok(()) => decode(&bytes).map_or(Found::Unreadable, Found::Says),
+        Err(_) => Found::Unreadable,
+    }
+}
+
+fn encode(said: &Said) -> [u8; LENGTH] {
+    let numbers = [said.clients.held, said.clients.claim, said.servers.held, said.servers.claim];
+    let numbers = numbers.map(|n| n as u32);
+    let mut bytes = [VERSION; LENGTH];
+    let sum = numbers.iter().fold(0, |sum: u32, n| sum.rotate_left(7) ^ n);
+    for (place, number) in bytes[1..].chunks_exact_mut(4).zip(numbers.iter().chain([&sum])) {
+        place.copy_from_slice(&number.to_le_bytes());
+    }
+    bytes
+}
+
+fn decode(bytes: &[u8; LENGTH]) -> Option<Said> {
+    let mut numbers =
+        bytes[1..].chunks_exact(4).map(|b| u32::from_le_bytes([b[0], b[1], b[2], b[3]]) as usize);
+    let mut side = || Some(Side { held: numbers.next()?, claim: numbers.next()? });
+    let said = Said { clients: side()?, servers: side()? };
+    (encode(&said) == *bytes).then_some(said)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use std::rc::Rc;
+
+    #[derive(Clone, Default)]
+    struct Process(Rc<Cell<(usize, usize)>>, Rc<Cell<(usize, usize)>>, Rc<Cell<bool>>);
+
+    impl Holds for Process {
+        fn held(&self) -> (usize, usize) {
+            self.0.get()
+        }
+        fn allow(&self, clients: usize, servers: usize) {
+            self.1.set((clients, servers));
+        }
+        fn is_leaving(&self) -> bool {
+            self.2.get()
+        }
+    }
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("dilljunction-share-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    #[test]
+    fn what_is_said_is_read_and_what_is_torn_is_not() {
+        let side = |held, claim| Side { held, claim };
+        let said = Said { clients: side(3, 168), servers: side(70_000, 1 << 20) };
+        let bytes = encode(&said);
+        assert_eq!(decode(&bytes), Some(said));
+        for place in 0..LENGTH {
+            let mut torn = bytes;
+            torn[place] ^= 4;
+            assert_eq!(decode(&torn), None, "byte {place}");
+        }
+    }
+
+    #[test]
+    fn files_of_the_dead_and_of_others_count_for_nothing() {
+        let folder = folder("dead");
+        let listen: SocketAddr = "127.0.0.1:80".parse().unwrap();
+        let dead = folder.join("dilljunction-127.0.0.1-80-1");
+        let other = folder.join("dilljunction-127.0.0.1-8080-1");
+        std::fs::write(&dead, encode(&Said { clients: Side { held: 9, claim: 100 }, ..Said::default() }))
+            .unwrap();
+        std::fs::write(&other, "not ours").unwrap();
+        let process = Process::default();
+        let mut share = Share::new(&folder, listen, (100, 50));
+        assert!(share.step(&process));
+        assert_eq!(process.1.get(), (100, 50));
+        assert!(!dead.exists() && other.exists());
+        // One that lives and says nothing that can be read is no reason to give anything up.
+        let alive = File::create(folder.join("dilljunction-127.0.0.1-80-2")).unwrap();
+        alive.lock().unwrap();
+        assert!(share.step(&process));
+        drop(share);
+        assert!(!folder.join(format!("dilljunction-127.0.0.1-80-{}", std::process::id())).exists());
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
+    #[test]
+    fn a_folder_that_is_of_no_use_leaves_the_whole_share() {
+        let process = Process::default();
+        let mut share = Share::new(Path::new("/nowhere/at/all"), "127.0.0.1:80".parse().unwrap(), (100, 50));
+        assert!(share.step(&process));
+        assert_eq!(process.1.get(), (100, 50));
+    }
+}
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -6,7 +6,7 @@
 use crate::wire::{Gauge, View, Wire};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use ryelead::{Outcome, ServerId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -106,7 +106,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Gauge,
-    open_most: usize,
+    open_most: Cell<usize>,
     connect_timeout: Duration,
     rest: Rest,
     tally: Tally,
@@ -117,7 +117,7 @@
     pub fn new(open_most: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
         let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
         let (idle, open, tally) = Default::default();
-        Rc::new(Pool { idle, open, open_most, connect_timeout, rest, tally })
+        Rc::new(Pool { idle, open, open_most: Cell::new(open_most), connect_timeout, rest, tally })
     }
 
     /// Where what is done on the connections is counted.
@@ -130,8 +130,12 @@
         (self.open.count(), self.idle.borrow().values().map(Vec::len).sum())
     }
 
+    /// No more than so many from now on.
+    pub fn allow(&self, most: usize) {
+        self.open_most.set(most);
+    }
+
     /// How many are open.
-    #[cfg(test)]
     pub fn count(&self) -> usize {
         self.open.count()
     }
@@ -142,7 +146,7 @@
             let Idle { sender, view, task, since, .. } = idle;
             return Ok(Lease { sender: Some(sender), view, task, rested: Some(since.elapsed()) });
         }
-        if self.open.count() >= self.open_most && !self.close_coldest() {
+        if self.open.count() >= self.open_most.get() && !self.close_coldest() {
             return Err(Outcome::NotSent);
         }
         self.tally.count(Count::Handshake);
--- a/agent/tests/loopback/operators.rs
+++ b/agent/tests/loopback/operators.rs
@@ -3,6 +3,7 @@
 use dilljunction_lab::standins::hand::*;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 /// An agent with a door.
 fn with_door(backend: &Backend) -> (Agent, Discovery, SocketAddr) {
@@ -224,6 +225,66 @@
     assert!(served > 100, "{served} requests show little");
 }
 
+/// Sockets that a process holds.
+fn sockets(pid: u32) -> usize {
+    let links = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap();
+    let targets = links.filter_map(|l| std::fs::read_link(l.ok()?.path()).ok());
+    targets.filter(|target| target.to_string_lossy().starts_with("socket:")).count()
+}
+
+/// In a crowd that fills whatever it may, two processes of one agent hold together what one may: 56 of 160 descriptors.
+#[test]
+fn two_processes_hold_no_more_clients_than_one_may() {
+    const ONE_MAY: usize = (160 - 48) / 2;
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let text = config(discovery.address, &line, SETTINGS, 160);
+    let text = door(&text.replace("127.0.0.1:0", &address.to_string()));
+    let mut old = Agent::inheriting(&text, &listener);
+    while call(old.admin.unwrap(), "GET /healthcheck") != 200 {}
+    let own = sockets(old.child.id());
+    // Each keeps a seat with half a head; who loses it comes again.
+    let over = AtomicBool::new(false);
+    let crowd = || {
+        while !over.load(Ordering::Relaxed) {
+            let mut client = Client::at(address);
+            client.write("GET /read HTTP/1.1\r\nHost: ");
+            client.ends();
+        }
+    };
+    let most = |agents: &[&Agent]| {
+        let sum = || agents.iter().map(|agent| sockets(agent.child.id()).saturating_sub(own)).sum::<usize>();
+        let begin = Instant::now();
+        let mut most = 0;
+        while begin.elapsed() < Duration::from_millis(1500) {
+            most = most.max(sum());
+        }
+        most
+    };
+    std::thread::scope(|scope| {
+        (0..150).for_each(|_| drop(scope.spawn(crowd)));
+        let alone = most(&[&old]);
+        let new = Agent::inheriting(&text, &listener);
+        while call(new.admin.unwrap(), "GET /healthcheck") != 200 {}
+        let both = most(&[&old, &new]);
+        let of_new = most(&[&new]);
+        old.terminate();
+        assert_eq!(old.ended(), Some(0));
+        let after = most(&[&new]);
+        over.store(true, Ordering::Relaxed);
+        drop((new, listener));
+        // What a process asks for lists with comes and goes.
+        const SOME: usize = 4;
+        assert!(alone.abs_diff(ONE_MAY) < SOME, "alone {alone}");
+        assert!(both.abs_diff(ONE_MAY) < 2 * SOME, "both together {both}");
+        assert!(of_new > SOME && of_new < ONE_MAY - SOME, "the new one beside the old one {of_new}");
+        assert!(after.abs_diff(ONE_MAY) < SOME, "the new one alone {after}");
+    });
+}
+
 /// A process that can't decide yet leaves the queue to the one that can.
 #[test]
 fn a_new_process_without_a_list_takes_no_client_from_the_old_one() {
