A live view of a schedule that real processes play

Change: fleet/live.rs draws who says what of whom, and how many views there are, twice a second on a terminal and in a line a second elsewhere, through the lab's own Live. Test: the picture and the line of a look.

--- a/agent/tests/fleet.rs
+++ b/agent/tests/fleet.rs
@@ -25,7 +25,7 @@
 }
 
 async fn play(plan: Plan, flaw: Option<Flaw>) -> Outcome {
-    Rig::new(plan, program(), folder(), flaw).await.unwrap().play(|_, _| ()).await.unwrap()
+    Rig::new(plan, program(), folder(), flaw).await.unwrap().play(|_| ()).await.unwrap()
 }
 
 fn play_one(plan: Plan) -> Outcome {
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod checker;
 pub mod evidence;
 pub mod flaw;
+pub mod live;
 pub mod measure;
 pub mod net;
 pub mod page;
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -177,6 +177,15 @@
     pub amount: f64,
 }
 
+impl Fault {
+    /// A few words for people.
+    pub fn label(&self) -> String {
+        let members: Vec<String> = self.members.iter().map(usize::to_string).collect();
+        let amount = if self.amount > 0.0 { format!(" {}", self.amount) } else { String::new() };
+        format!("{}{amount} {}", self.kind.word(), members.join(",")).trim().to_string()
+    }
+}
+
 /// Whose addresses an agent's configuration names, its own besides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -3,7 +3,8 @@
 use crate::fleet::checker::{judge, Verdict};
 use crate::fleet::evidence::{Belief, Entry, Evidence, Reader, Seen};
 use crate::fleet::flaw::{Broken, Flaw};
-use crate::fleet::plan::{Act, Clocks, Kind, Plan};
+use crate::fleet::live::{Look, Runs};
+use crate::fleet::plan::{Act, Clocks, Fault, Kind, Plan};
 use crate::fleet::process::{takes_clients, view, Ground, Process};
 use crate::fleet::switch::Switch;
 use serde::Serialize;
@@ -22,6 +23,8 @@
 const HOLD: Duration = Duration::from_secs(3);
 /// How often it is looked whether it is.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// How often it is shown to people.
+const SHOW_EVERY: f64 = 0.5;
 /// How long a new process may take until it takes clients.
 const READY_WAIT: Duration = Duration::from_secs(20);
 
@@ -275,26 +278,47 @@
         }
     }
 
+    /// How it all looks from outside, so many seconds after the fleet had settled first.
+    fn look(&self, at: f64) -> Look {
+        let runs = self.slots.iter().map(|slot| match (&slot.process, slot.stopped) {
+            (None, _) => Runs::Not,
+            (Some(_), true) => Runs::Stopped,
+            (Some(_), false) => Runs::Yes,
+        });
+        let holds =
+            self.plan.fault.iter().filter(|f| f.at <= at && at < (f.at + f.lasts).max(f.at + SHOW_EVERY));
+        let views = self.shared.book().latest.clone();
+        Look { at, runs: runs.collect(), views, faults: holds.map(Fault::label).collect() }
+    }
+
     /// What was written down so far.
     pub fn evidence(&self) -> Evidence {
         self.shared.book().evidence.clone()
     }
 
     /// Plays the whole schedule: all start, settle, the faults come, and it ends when all has settled again or the stated
-    /// time is over. `show` hears of each step.
-    pub async fn play(mut self, mut show: impl FnMut(f64, Act)) -> Result<Outcome, String> {
+    /// time is over. `show` is shown the fleet every half second.
+    pub async fn play(mut self, mut show: impl FnMut(&Look)) -> Result<Outcome, String> {
         for m in 0..self.plan.agents {
             self.start(m, Clocks::default()).await?;
         }
         let first = self.settle(FIRST_WAIT).await;
         let (begin, carried_before) = (Instant::now(), self.switch.net().carried);
+        let mut shown = f64::NEG_INFINITY;
+        let mut shows = |rig: &Rig| {
+            let at = begin.elapsed().as_secs_f64();
+            if at - shown >= SHOW_EVERY {
+                shown = at;
+                show(&rig.look(at));
+            }
+        };
         for (at, act) in self.plan.steps() {
             while begin.elapsed().as_secs_f64() < at {
                 let left = Duration::from_secs_f64(at).saturating_sub(begin.elapsed());
                 sleep(left.min(LOOK_EVERY)).await;
                 self.look_for_crashes();
+                shows(&self);
             }
-            show(at, act);
             self.act(act).await?;
         }
         let end = Instant::now() + Duration::from_secs_f64(self.plan.settles_within()) + HOLD;
@@ -302,6 +326,7 @@
         while Instant::now() < end && since.is_none_or(|since: Instant| since.elapsed() < HOLD) {
             sleep(LOOK_EVERY).await;
             self.look_for_crashes();
+            shows(&self);
             since = if self.is_settled() { since.or(Some(Instant::now())) } else { None };
         }
         let seconds = begin.elapsed().as_secs_f64();
--- a/lab/src/fleet_command.rs
+++ b/lab/src/fleet_command.rs
@@ -10,8 +10,8 @@
 use dilljunction_lab::fleet::rig::Rig;
 use dilljunction_lab::fleet::shrink::shrink;
 use dilljunction_lab::fleet::simulate::simulate;
+use dilljunction_lab::show::live::Live;
 use dilljunction_lab::world::agents::Subject;
-use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -36,13 +36,9 @@
             }
             Player::Real { program, logs } => {
                 let rig = Rig::new(plan.clone(), program.clone(), logs.join(&plan.name), flaw).await?;
-                let shows = std::io::stderr().is_terminal();
-                let run = rig.play(|at, act| {
-                    if shows {
-                        eprintln!("  {at:7.2} s  {act:?}");
-                    }
-                });
-                let run = run.await?;
+                let mut live = Live::default();
+                let run =
+                    rig.play(|look| live.put(look.at, || look.picture(), || look.line() + "\n")).await?;
                 (verdict, first, seconds) = (run.verdict, run.first_settled, run.seconds);
                 (packets, bytes, evidence) = (run.packets_a_second, run.bytes_a_second, run.evidence);
                 (cpu, rss) = (Some(run.cpu_ms_a_second), Some(run.rss_kib));
--- a/lab/src/show/live.rs
+++ b/lab/src/show/live.rs
@@ -19,19 +19,24 @@
 
 impl Default for Live {
     fn default() -> Self {
-        Live { terminal: std::io::stdout().is_terminal(), drawn: 0, last: -1.0 }
+        Live { terminal: std::io::stdout().is_terminal(), drawn: 0, last: f64::NEG_INFINITY }
     }
 }
 
 impl Live {
     /// Shows the world at a moment.
     pub fn show(&mut self, world: &World, frame: &Frame) {
-        let text = if self.terminal { picture(world, frame) } else { line(world, frame) };
+        self.put(frame.at, || picture(world, frame), || line(world, frame));
+    }
+
+    /// Shows what is so at a moment, in seconds: a picture in place of the last one on a terminal, lines elsewhere.
+    pub fn put(&mut self, at: f64, picture: impl FnOnce() -> String, line: impl FnOnce() -> String) {
         // Plain lines once a second are enough.
-        if !self.terminal && frame.at - self.last < 0.95 {
+        if !self.terminal && at - self.last < 0.95 {
             return;
         }
-        self.last = frame.at;
+        self.last = at;
+        let text = if self.terminal { picture() } else { line() };
         let mut out = String::new();
         if self.terminal && self.drawn > 0 {
             let _ = write!(out, "\x1b[{}A\x1b[J", self.drawn);
