One place starts the agent's program as the platform does

Cause: hand.rs, the lab's worlds and the fleet's rig each built that command, and each cleared another part of the environment. Change: lab/src/world/platform.rs.

--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -2,7 +2,8 @@
 
 use crate::fleet::evidence::{Belief, Seen};
 use crate::fleet::plan::{Clocks, Knows};
-use crate::world::agents::{command, says_yes, usage, Usage};
+use crate::world::agents::{says_yes, usage, Usage};
+use crate::world::platform;
 use serde::Deserialize;
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
@@ -88,16 +89,13 @@
             let trial = write(&format!("{name}.toml"), trial)?;
             arguments.extend(["--with".into(), trial.display().to_string(), "--trial".into()]);
         }
-        let mut command = command(&ground.program, listener).map_err(|e| of(&e))?;
+        let mut command = Command::from(platform::command(&ground.program, listener).map_err(|e| of(&e))?);
         command
             .args(&arguments)
             .env("LB_CONFIG", path)
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .kill_on_drop(true);
-        for other in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_ADMIN"] {
-            command.env_remove(other);
-        }
         let mut child =
             command.spawn().map_err(|e| format!("cannot start {}: {e}", ground.program.display()))?;
         let upgrade = listener.is_some() && peers_at.is_some();
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -6,10 +6,10 @@
 use crate::standins::booking::{Act, Booking, Figures, Repeats, Seen, Setup};
 use crate::standins::discovery::{Ailment, Registry, View};
 use crate::standins::http::{answer, Message};
+use crate::world::platform;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -224,22 +224,18 @@
 
 /// What starts the agent with a configuration file.
 pub fn command(config: &Path) -> Command {
-    let mut command = Command::new(program());
-    command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
-    command.env_remove("LB_ADMIN").env_remove("LB_LISTEN_FD");
-    command.stderr(Stdio::piped());
-    command
+    start(config, None)
 }
 
 /// What starts the agent with a listening socket as its descriptor 7.
 pub fn inheriting(config: &Path, listener: &TcpListener) -> Command {
-    let mut shell = Command::new("sh");
-    let script = format!("exec {} 7<&0 0</dev/null", program().display());
-    let socket = OwnedFd::from(listener.try_clone().expect("a socket"));
-    shell.args(["-c", &script]).stdin(Stdio::from(socket)).stderr(Stdio::piped());
-    shell.env("LB_CONFIG", config).env("LB_LISTEN_FD", "7");
-    shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_ADMIN");
-    shell
+    start(config, Some(listener))
+}
+
+fn start(config: &Path, listener: Option<&TcpListener>) -> Command {
+    let mut command = platform::command(&program(), listener).expect("a socket");
+    command.env("LB_CONFIG", config).stderr(Stdio::piped());
+    command
 }
 
 /// The agent's program; it is killed when this is dropped.
--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -2,10 +2,9 @@
 
 use crate::judge::evidence::AgentIndex;
 use crate::world::broken::{Broken, Flaw};
-use crate::world::{EffectName, World};
+use crate::world::{platform, EffectName, World};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::Arc;
@@ -292,19 +291,6 @@
     }
 }
 
-/// The program's command, with the clients' socket that the platform holds.
-pub fn command(program: &Path, held: Option<&TcpListener>) -> std::io::Result<Command> {
-    let Some(held) = held else {
-        let mut command = Command::new(program);
-        command.env_remove("LB_LISTEN_FD").stdin(Stdio::null());
-        return Ok(command);
-    };
-    let mut shell = Command::new("sh");
-    shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"]).arg(program);
-    shell.stdin(Stdio::from(OwnedFd::from(held.try_clone()?))).env("LB_LISTEN_FD", "7");
-    Ok(shell)
-}
-
 async fn signal(child: &Child, name: &str) {
     if let Some(id) = child.id() {
         let _ = Command::new("kill").args([name, &id.to_string()]).status().await;
@@ -336,7 +322,7 @@
     }
     let path = setup.folder.join(format!("{name}.json"));
     std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
-    let mut command = command(program, held).map_err(|e| of(&e))?;
+    let mut command = Command::from(platform::command(program, held).map_err(|e| of(&e))?);
     command.args(arguments);
     if config.get("peer_listen").is_some() {
         // One for each process: another one may be reading.
@@ -346,10 +332,6 @@
     }
     let mut child = command
         .env("LB_CONFIG", &path)
-        .env_remove("LB_LISTEN")
-        .env_remove("LB_DISCOVERY")
-        .env_remove("LB_ADMIN")
-        .env_remove("LB_NAME")
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .kill_on_drop(true)
--- /dev/null
+++ b/lab/src/world/platform.rs
@@ -0,0 +1,31 @@
+//! How the platform starts the agent's program: nothing of our own surroundings reaches it, and where the platform holds the
+//! clients' socket, that is its descriptor 7.
+
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+/// The words of the environment by which the platform tells an agent something.
+const WORDS: [&str; 6] = ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_LISTEN_FD", "LB_DISCOVERY", "LB_ADMIN"];
+
+/// The program's command; with `held` it inherits that socket. Fails if the socket can't be copied.
+pub fn command(program: &Path, held: Option<&TcpListener>) -> std::io::Result<Command> {
+    let mut command = match held {
+        None => Command::new(program),
+        // The library hands on no descriptor but the first three; a shell moves one of those.
+        Some(_) => {
+            let mut shell = Command::new("sh");
+            shell.args(["-c", "exec \"$0\" \"$@\" 7<&0 0</dev/null"]).arg(program);
+            shell
+        }
+    };
+    for word in WORDS {
+        command.env_remove(word);
+    }
+    match held {
+        None => command.stdin(Stdio::null()),
+        Some(held) => command.stdin(Stdio::from(OwnedFd::from(held.try_clone()?))).env("LB_LISTEN_FD", "7"),
+    };
+    Ok(command)
+}
