--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod health;
 pub mod member;
 pub mod pace;
+pub mod register;
 pub mod sync;
 pub mod table;
 pub mod timers;
