What a killed new process had taken is excused from the moment of its kill on

Seen: new_processes_every_few_seconds_lose_nothing failed two times of six played side by side: 'no whole answer', closed at 10.151 s at agent 2, whose new process is killed by the world. Checked: the outage was written down after the kill had been waited for, so a request that the kill itself ended lay before it (world/run.rs, Actor::upgrade). Ruled out: the agent; every breach was at agent 2, none at those that upgrade without kills. Change: the moment is taken just before the kill.

--- a/cluster/src/member.rs
+++ b/cluster/src/member.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Members that a view holds at most, and so the bound on numbers: the memory of a view is bounded by it, whatever comes
 /// on the network.
@@ -84,7 +85,7 @@
 /// What people call a member, at most [`NAME_MOST`] bytes.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct Name(Box<str>);
+pub struct Name(Arc<str>);
 
 impl Name {
     /// A name; fails if it is too long.
@@ -100,7 +101,7 @@
 
 impl From<Name> for String {
     fn from(name: Name) -> String {
-        name.0.into()
+        name.as_str().into()
     }
 }
 
--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -141,12 +141,13 @@
     }
 
     /// Starts a new process beside the one that clients have, with what it is told now: the platform's way to a new version.
-    /// `kill_after` is for [`Upgrade::Killed`]. True unless the new process should have come to take clients and did not.
+    /// `kill_after` is for [`Upgrade::Killed`], and `killing` is called just before. True unless the new process should have come to take clients and did not.
     pub async fn upgrade(
         agent: &AsyncMutex<Agent>,
         mut config: Value,
         manner: Upgrade,
         kill_after: Duration,
+        killing: impl FnOnce(),
     ) -> Result<bool, String> {
         let (setup, held, starts) = {
             let mut agent = agent.lock().await;
@@ -185,6 +186,7 @@
         let Some(place) = agent.besides.iter().position(|b| b.child.id() == id) else { return Ok(came) };
         let mut new = agent.besides.remove(place);
         if !came {
+            killing();
             let _ = new.child.kill().await;
             return Ok(manner == Upgrade::Killed || manner == Upgrade::NeverReady);
         }
--- a/lab/src/world/run.rs
+++ b/lab/src/world/run.rs
@@ -594,21 +594,19 @@
                 let mut random = self.seed.lock().unwrap_or_else(PoisonError::into_inner);
                 Duration::from_secs_f64(KILLED_WITHIN.as_secs_f64() * random.f64())
             };
-            let came = Agent::upgrade(agent, self.config(*index, view), manner, kill_after).await;
-            if manner == Upgrade::Killed {
+            let mut killed = None;
+            let killing = || killed = Some(self.clock.now());
+            let came = Agent::upgrade(agent, self.config(*index, view), manner, kill_after, killing).await;
+            if let (Upgrade::Killed, Some(from)) = (manner, killed) {
                 // What it had taken by then is lost, and that is the world's doing.
-                let now = self.clock.now();
-                self.book.open().outages.push(Outage { agent: *index, from: now, to: now });
+                self.book.open().outages.push(Outage { agent: *index, from, to: self.clock.now() });
             }
-            match came {
-                Ok(true) => {}
-                Ok(false) => {
-                    self.failed.lock().unwrap_or_else(PoisonError::into_inner).push(*index);
-                }
-                Err(fault) => {
-                    eprintln!("{fault}");
-                    self.failed.lock().unwrap_or_else(PoisonError::into_inner).push(*index);
-                }
+            let came = came.unwrap_or_else(|fault| {
+                eprintln!("{fault}");
+                false
+            });
+            if !came {
+                self.failed.lock().unwrap_or_else(PoisonError::into_inner).push(*index);
             }
         }
     }
