--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -37,7 +37,7 @@
 mod peers;
 mod requests;
 mod servers;
-pub mod share;
+mod share;
 mod sources;
 mod switches;
 mod tally;
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -109,7 +109,8 @@
             name: self.name.clone(),
             life,
             peers: self.peers.clone(),
-            seed: self.seed,
+            // Agents may have one seed, or none: they must not all ask the same member at the same moment.
+            seed: self.seed ^ (u64::from(self.number.0) << 48) ^ unix_ms,
         }
     }
 }
@@ -309,3 +310,24 @@
         Event::Late(by) => tracing::warn!(target: "fleet", event = "late", ms = by.as_millis() as u64),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn agents_without_a_seed_of_their_own_draw_differently() {
+        let of = |number: u16, unix_ms| {
+            let words = PeerWords {
+                allowed: true,
+                number: Some(number),
+                name: "n".into(),
+                listen: Some(json!("127.0.0.1:0")),
+                peers: Some(json!(["127.0.0.1:1", "127.0.0.1:2"])),
+                seed: 0,
+            };
+            PeersConfig::new(words, &FleetTable::default(), None).unwrap().setup(unix_ms).seed
+        };
+        assert!(of(0, 1) != of(1, 1) && of(0, 1) != of(0, 2));
+    }
+}
--- a/agent/src/share/file.rs
+++ b/agent/src/share/file.rs
@@ -1,17 +1,17 @@
-//! The processes of one agent tell each other through small files in the platform's folder for temporary files: one for each,
-//! named after the clients' socket, locked as long as its process lives. A file that nobody locks is a dead process's, and is
-//! removed; one that can't be read says what it last said. Where the folder is of no use the process keeps its whole share, as
-//! where it is alone.
+//! The processes of one agent tell each other through small files in the platform's folder for temporary files: a folder there for
+//! each clients' socket, in it a file for each process, locked as long as that lives. A file that can be opened and that nobody locks is a
+//! dead process's, and is removed; whatever can't be opened or read, for want of descriptors above all, says what it said last. Where
+//! the folder is of no use the process keeps its whole share, as where it is alone.
 
 use super::{limit, may_stand, next_claim, Said, Side};
 use crate::log::log;
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// How often the others are looked for while there are none, and how often while there are some.
 const LOOK_ALONE: Duration = Duration::from_millis(100);
@@ -21,6 +21,8 @@
 /// Bytes of a file: the version, four numbers, and their sum.
 const LENGTH: usize = 1 + 5 * 4;
 const VERSION: u8 = 1;
+/// How names of files begin that are not ready yet.
+const NEW: &[u8] = b"new-";
 
 /// What connections a process may hold, and does.
 pub trait Holds {
@@ -35,7 +37,6 @@
 /// This process's place among those of its agent.
 pub struct Share {
     folder: PathBuf,
-    prefix: String,
     own: Option<(PathBuf, File)>,
     said: Said,
     whole: (usize, usize),
@@ -45,17 +46,11 @@
 impl Share {
     /// A place in `folder` beside other processes that take clients at `listen`, of so many connections to clients and to servers.
     pub fn new(folder: &Path, listen: SocketAddr, whole: (usize, usize)) -> Share {
-        let prefix = format!("dilljunction-{}-{}-", listen.ip(), listen.port()).replace(':', "_");
-        let path = folder.join(format!("{prefix}{}", std::process::id()));
-        let own = match open(&path) {
-            Ok(file) => Some((path, file)),
-            Err(e) => {
-                log(&format!("{}: {e}: another process of this agent is not noticed", path.display()));
-                None
-            }
-        };
-        let folder = folder.to_path_buf();
-        Share { folder, prefix, own, said: Said::default(), whole, last: HashMap::new() }
+        let folder = folder.join(format!("dilljunction-{}-{}", listen.ip(), listen.port()).replace(':', "_"));
+        let own = open(&folder).inspect_err(|e| {
+            log(&format!("{}: {e}: another process of this agent is not noticed", folder.display()));
+        });
+        Share { folder, own: own.ok(), said: Said::default(), whole, last: HashMap::new() }
     }
 
     /// Shares for as long as the process lives.
@@ -110,10 +105,11 @@
     /// What the others that live say.
     fn others(&mut self) -> Vec<Said> {
         let Some((own, _)) = &self.own else { return Vec::new() };
-        let Ok(entries) = std::fs::read_dir(&self.folder) else { return Vec::new() };
-        let named = |path: &PathBuf| {
-            path.file_name().and_then(|n| n.to_str()).is_some_and(|n| n.starts_with(&self.prefix))
+        let Ok(entries) = std::fs::read_dir(&self.folder) else {
+            return self.last.values().copied().collect();
         };
+        let named =
+            |path: &PathBuf| path.file_name().is_some_and(|name| !name.as_encoded_bytes().starts_with(NEW));
         let paths = entries.filter_map(|e| Some(e.ok()?.path())).filter(|p| named(p) && p != own);
         let paths: Vec<PathBuf> = paths.take(OTHERS_MOST).collect();
         self.last.retain(|path, _| paths.contains(path));
@@ -139,11 +135,19 @@
     }
 }
 
-fn open(path: &Path) -> std::io::Result<File> {
-    let file = OpenOptions::new().read(true).write(true).create(true).truncate(true).open(path)?;
+/// A new file of this process. It gets its name once it is locked and says something: before that it would look dead.
+fn open(folder: &Path) -> std::io::Result<(PathBuf, File)> {
+    std::fs::create_dir_all(folder)?;
+    // Numbers of processes are not unique where each has its own list of them.
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let name = format!("{}-{}", std::process::id(), since.as_nanos());
+    let new = folder.join(format!("new-{name}"));
+    let file = OpenOptions::new().read(true).write(true).create_new(true).open(&new)?;
     file.try_lock().map_err(std::io::Error::from)?;
     file.write_all_at(&encode(&Said::default()), 0)?;
-    Ok(file)
+    let path = folder.join(name);
+    std::fs::rename(new, &path)?;
+    Ok((path, file))
 }
 
 enum Found {
@@ -155,7 +159,11 @@
 }
 
 fn read(path: &Path) -> Found {
-    let Ok(mut file) = File::open(path) else { return Found::Dead };
+    let mut file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == ErrorKind::NotFound => return Found::Dead,
+        Err(_) => return Found::Unreadable,
+    };
     match file.try_lock_shared() {
         Ok(()) => return Found::Dead,
         Err(TryLockError::WouldBlock) => {}
@@ -232,8 +240,9 @@
     fn files_of_the_dead_and_of_others_count_for_nothing() {
         let folder = folder("dead");
         let listen: SocketAddr = "127.0.0.1:80".parse().unwrap();
-        let dead = folder.join("dilljunction-127.0.0.1-80-1");
-        let other = folder.join("dilljunction-127.0.0.1-8080-1");
+        let ours = folder.join("dilljunction-127.0.0.1-80");
+        let (dead, other) = (ours.join("1-1"), folder.join("dilljunction-127.0.0.1-8080-1"));
+        std::fs::create_dir(&ours).unwrap();
         std::fs::write(&dead, encode(&Said { clients: Side { held: 9, claim: 100 }, ..Said::default() }))
             .unwrap();
         std::fs::write(&other, "not ours").unwrap();
@@ -243,11 +252,39 @@
         assert_eq!(process.1.get(), (100, 50));
         assert!(!dead.exists() && other.exists());
         // One that lives and says nothing that can be read is no reason to give anything up.
-        let alive = File::create(folder.join("dilljunction-127.0.0.1-80-2")).unwrap();
+        let alive = File::create(ours.join("2-2")).unwrap();
         alive.lock().unwrap();
         assert!(share.step(&process));
-        drop(share);
-        assert!(!folder.join(format!("dilljunction-127.0.0.1-80-{}", std::process::id())).exists());
+        drop((share, alive));
+        assert_eq!(std::fs::read_dir(&ours).unwrap().count(), 1, "its own file is gone");
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
+    /// Out of descriptors a process can open nothing: the other one still lives, and still claims what it claimed.
+    #[test]
+    fn a_file_that_cannot_be_opened_is_no_dead_one() {
+        let folder = folder("closed");
+        let listen: SocketAddr = "127.0.0.1:80".parse().unwrap();
+        let (one, two) = (Process::default(), Process::default());
+        let mut first = Share::new(&folder, listen, (100, 50));
+        let mut second = Share::new(&folder, listen, (100, 50));
+        let steps = |first: &mut Share, second: &mut Share| {
+            for _ in 0..4 {
+                first.step(&one);
+                second.step(&two);
+            }
+        };
+        steps(&mut first, &mut second);
+        assert_eq!((one.1.get().0, two.1.get().0), (50, 50));
+        // The name leads nowhere that can be opened, as if there were no descriptor left.
+        let path = second.own.as_ref().unwrap().0.clone();
+        std::fs::remove_file(&path).unwrap();
+        std::os::unix::fs::symlink(&path, &path).unwrap();
+        assert!(File::open(&path).is_err_and(|e| e.kind() != ErrorKind::NotFound));
+        steps(&mut first, &mut second);
+        assert_eq!(one.1.get().0, 50);
+        assert!(path.symlink_metadata().is_ok(), "a file that could not be opened was removed");
+        drop((first, second));
         std::fs::remove_dir_all(folder).unwrap();
     }
 
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -110,23 +110,11 @@
 
     /// These and the ones of another file; a table that stands in both is a fault, since one would silently win.
     pub fn with(self, other: Switches) -> Result<Switches, Fault> {
-        if self.limits.is_some() && other.limits.is_some() {
-            return Err(Fault::of_key("limits", "this table stands in an earlier file too"));
-        }
-        if self.tally.is_some() && other.tally.is_some() {
-            return Err(Fault::of_key("tally", "this table stands in an earlier file too"));
-        }
-        if self.fleet.is_some() && other.fleet.is_some() {
-            return Err(Fault::of_key("fleet", "this table stands in an earlier file too"));
-        }
-        if self.trial.is_some() && other.trial.is_some() {
-            return Err(Fault::of_key("trial", "this table stands in an earlier file too"));
-        }
         Ok(Switches {
-            limits: self.limits.or(other.limits),
-            tally: self.tally.or(other.tally),
-            fleet: self.fleet.or(other.fleet),
-            trial: self.trial.or(other.trial),
+            limits: only("limits", self.limits, other.limits)?,
+            tally: only("tally", self.tally, other.tally)?,
+            fleet: only("fleet", self.fleet, other.fleet)?,
+            trial: only("trial", self.trial, other.trial)?,
         })
     }
 
@@ -182,6 +170,14 @@
     Ok(text)
 }
 
+/// The one of two that is there; both are a fault.
+fn only<T>(table: &str, one: Option<T>, other: Option<T>) -> Result<Option<T>, Fault> {
+    if one.is_some() && other.is_some() {
+        return Err(Fault::of_key(table, "this table stands in an earlier file too"));
+    }
+    Ok(one.or(other))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/cluster/src/register/keeper.rs
+++ b/cluster/src/register/keeper.rs
@@ -2,7 +2,7 @@
 
 use super::{Answer, Ask, Ballot, Held, KEPT_BACK, SERVES, higher, majority};
 use crate::member::{Life, Number};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// What an answer to a keeper that has forgotten said.
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Keeper<V> {
     life: Life,
-    keepers: usize,
+    others: BTreeSet<Number>,
     votes_from: Duration,
     standing: Standing<V>,
     promised: Ballot,
@@ -34,16 +34,21 @@
 }
 
 impl<V: Clone> Keeper<V> {
-    /// One of so many that starts now, and knows nothing.
-    pub fn new(life: Life, keepers: usize, now: Duration) -> Keeper<V> {
-        Keeper::with_vote_kept_back(life, keepers, now, KEPT_BACK)
+    /// One that starts now, and knows nothing but who the other keepers are.
+    pub fn new(life: Life, others: BTreeSet<Number>, now: Duration) -> Keeper<V> {
+        Keeper::with_vote_kept_back(life, others, now, KEPT_BACK)
     }
 
     /// The same with another time; for the model, which shows what goes wrong with none.
-    pub fn with_vote_kept_back(life: Life, keepers: usize, now: Duration, kept_back: Duration) -> Keeper<V> {
+    pub fn with_vote_kept_back(
+        life: Life,
+        others: BTreeSet<Number>,
+        now: Duration,
+        kept_back: Duration,
+    ) -> Keeper<V> {
         Keeper {
             life,
-            keepers,
+            others,
             votes_from: now + kept_back,
             standing: Standing::Forgotten(BTreeMap::new()),
             promised: Ballot::default(),
@@ -108,15 +113,15 @@
         Some(Answer::Accepted(ballot))
     }
 
-    /// Another keeper has told what it holds; true if this one votes from now on.
+    /// Another keeper has told what it holds; true if this one votes from now on. Whoever is no other keeper is not heard.
     pub fn told(&mut self, from: Number, answer: Answer<V>) -> bool {
         let Standing::Forgotten(heard) = &mut self.standing else { return false };
         let Answer::Told { to, promised, held, .. } = answer else { return false };
-        if to != self.life {
+        if to != self.life || !self.others.contains(&from) {
             return false;
         }
         heard.insert(from, Heard { promised, held });
-        if heard.len() < majority(self.keepers) {
+        if heard.len() < majority(self.others.len() + 1) {
             return false;
         }
         let heard = std::mem::take(heard);
@@ -151,9 +156,13 @@
         Answer::Told { to: life(to), promised: ballot(round), held }
     }
 
+    fn others() -> BTreeSet<Number> {
+        [Number(1), Number(2)].into()
+    }
+
     /// One that votes, and holds what two others have told it.
     fn voting() -> Keeper<char> {
-        let mut keeper = Keeper::new(life(5), 3, S(0));
+        let mut keeper = Keeper::new(life(5), others(), S(0));
         assert!(!keeper.told(Number(1), told(5, 3, Some('a'))));
         assert!(keeper.told(Number(2), told(5, 2, Some('b'))));
         keeper
@@ -161,7 +170,7 @@
 
     #[test]
     fn one_that_has_started_says_nothing_at_first_and_then_asks() {
-        let mut keeper: Keeper<char> = Keeper::new(life(5), 3, S(100));
+        let mut keeper: Keeper<char> = Keeper::new(life(5), others(), S(100));
         assert_eq!(keeper.answer(S(104), Ask::Promise(ballot(1))), None);
         assert_eq!(keeper.asks(S(104)), None);
         assert_eq!(keeper.asks(S(105)), Some(Ask::Tell(life(5))));
@@ -175,10 +184,11 @@
 
     #[test]
     fn it_votes_once_as_many_others_as_make_a_majority_have_told_this_life() {
-        let mut keeper = Keeper::new(life(5), 3, S(0));
+        let mut keeper = Keeper::new(life(5), others(), S(0));
         assert!(!keeper.told(Number(1), told(5, 3, Some('a'))));
         assert!(!keeper.told(Number(1), told(5, 4, Some('c'))), "two lives of one keeper are one");
         assert!(!keeper.told(Number(2), told(4, 9, Some('b'))), "told to an earlier life");
+        assert!(!keeper.told(Number(3), told(5, 9, Some('b'))), "told by one that is no keeper");
         assert!(keeper.told(Number(2), told(5, 2, None)));
         assert!(keeper.votes() && keeper.held().map(|h| h.value) == Some('c'));
         let outbid = keeper.answer(S(5), Ask::Promise(ballot(3)));
--- a/cluster/src/table.rs
+++ b/cluster/src/table.rs
@@ -1,6 +1,5 @@
 //! All others that a view has ever heard of, and what is asked of them for each packet: how many there are, which address
-//! belongs to whom, the checksums. These are kept as lines change, so that a packet costs as much in a fleet of two thousand as in
-//! one of ten.
+//! belongs to whom, the checksums. These are kept as lines change, and not counted anew for each packet.
 
 use crate::member::{Identity, Number, State};
 use crate::sync::Summary;
@@ -51,6 +50,11 @@
         self.lines.len() - self.gone
     }
 
+    /// The highest number of a line.
+    pub fn highest(&self) -> Option<Number> {
+        self.lines.last_key_value().map(|(number, _)| *number)
+    }
+
     /// How many have this number or a higher one.
     pub fn from(&self, number: Number) -> usize {
         self.lines.range(number..).count()
--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -589,9 +589,11 @@
             return Ok(());
         }
         // Whoever is suspected hears so at once from all that it talks to, and can contradict.
-        let suspect =
-            self.swim.iter_members().find(|m| m.id() == &sender && m.state() == foca::State::Suspect);
-        if let Some(suspect) = suspect.cloned() {
+        self.refresh(now);
+        let suspected =
+            self.table.get(sender.number).is_some_and(|e| e.state == State::Suspect && e.identity == sender);
+        let suspect = suspected.then(|| self.swim.iter_members().find(|m| m.id() == &sender).cloned());
+        if let Some(suspect) = suspect.flatten() {
             self.say(from, &Talk::Records(vec![suspect]));
         }
         Ok(())
@@ -742,13 +744,14 @@
     /// Where somebody who is there is reached.
     fn anybody(&mut self) -> Option<SocketAddr> {
         let there = |e: &&Entry| e.state != State::Gone;
+        let highest = self.table.highest()?;
         for _ in 0..TRIES {
-            let number = Number(self.random.random_range(0..self.peers.len() as u16));
+            let number = Number(self.random.random_range(0..=highest.0));
             if let Some(found) = self.table.get(number).filter(there) {
                 return Some(found.identity.address);
             }
         }
-        // Few are there, or few of those whom the configuration names.
+        // Few are there, or their numbers lie far apart.
         self.table.lines().filter(there).map(|e| e.identity.address).choose(&mut self.random)
     }
 
--- a/cluster/tests/lives.rs
+++ b/cluster/tests/lives.rs
@@ -1,8 +1,9 @@
 //! Members of small fleets in memory, each case by hand: lives, garbage, replays, stops.
 
-use dilljunction_cluster::envelope::{DATAGRAM_MOST, Room, Unreadable, seal};
+use dilljunction_cluster::envelope::{DATAGRAM_MOST, Room, Unreadable, open, seal};
 use dilljunction_cluster::member::{Life, Name, Number, State};
 use dilljunction_cluster::pace;
+use dilljunction_cluster::sync::Talk;
 use dilljunction_cluster::view::{BadSetup, Change, Dropped, Event, Setup, View};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -278,6 +279,32 @@
     assert_eq!(fleet.view(0).members(Duration::ZERO).len(), 3);
 }
 
+/// The older ones' configuration names two of six: they compare views with the others as well.
+#[test]
+fn members_that_the_configuration_does_not_name_are_asked_as_well() {
+    let mut fleet = Fleet::new(2);
+    for i in 2..6 {
+        fleet.members.push(Some(View::new(setup(i, i + 1, 5_000_000), fleet.now).unwrap()));
+    }
+    fleet.run(Duration::from_secs(10));
+    assert!(fleet.is_one());
+    fleet.sent.clear();
+    fleet.run(Duration::from_secs(60));
+    let asked = |to: usize| {
+        let asks = |packet: &[u8]| {
+            let Ok((Room::Talk, body)) = open(packet) else { return false };
+            matches!(postcard::from_bytes(body), Ok(Talk::Ask { back: false, .. }))
+        };
+        fleet
+            .sent
+            .iter()
+            .filter(|(from, receiver, packet)| *from == 0 && *receiver == to && asks(packet))
+            .count()
+    };
+    let counts: Vec<usize> = (1..6).map(asked).collect();
+    assert!(counts.iter().all(|n| *n > 2), "{counts:?}");
+}
+
 #[test]
 fn a_setup_that_makes_no_sense_is_refused() {
     let refused = |setup: Setup| View::new(setup, Duration::ZERO).err();
--- a/cluster/tests/register_histories.rs
+++ b/cluster/tests/register_histories.rs
@@ -73,6 +73,10 @@
     restarts: u32,
 }
 
+fn others(keeper: usize, keepers: usize) -> BTreeSet<Number> {
+    (0..keepers).filter(|n| *n != keeper).map(|n| Number(n as u16)).collect()
+}
+
 fn local(ms: u64, rate: f64) -> Duration {
     Duration::from_secs_f64(ms as f64 * rate / 1e3)
 }
@@ -88,7 +92,7 @@
             order: 0,
             events: BTreeMap::new(),
             keepers: (0..keepers)
-                .map(|_| Keeper::new(Life::from_unix_ms(1), keepers, Duration::ZERO))
+                .map(|k| Keeper::new(Life::from_unix_ms(1), others(k, keepers), Duration::ZERO))
                 .collect(),
             lives: vec![1; keepers],
             askers: (0..ASKERS)
@@ -238,7 +242,7 @@
                 self.restarts += 1;
                 self.lives[k] += 1;
                 let (life, now) = (Life::from_unix_ms(self.lives[k]), local(self.now, self.rates[k]));
-                self.keepers[k] = Keeper::new(life, self.keepers.len(), now);
+                self.keepers[k] = Keeper::new(life, others(k, self.keepers.len()), now);
             }
         }
     }
@@ -310,8 +314,8 @@
         }
         proposer.look(now + Duration::from_secs(60))
     };
-    let start = |life, now| Keeper::new(Life::from_unix_ms(life), 3, Duration::from_secs(now));
-    let mut keepers: Vec<Keeper<Value>> = (0..3).map(|_| start(1, 0)).collect();
+    let start = |k, life, now| Keeper::new(Life::from_unix_ms(life), others(k, 3), Duration::from_secs(now));
+    let mut keepers: Vec<Keeper<Value>> = (0..3).map(|k| start(k, 1, 0)).collect();
     assert_eq!(change(&mut keepers, 2, 1, 10), Some(Outcome::NoMajority), "one is away");
     assert_eq!(change(&mut keepers, 3, 2, 20), Some(Outcome::Changed(1)));
     assert_eq!(
@@ -320,7 +324,7 @@
         "a majority is enough from then on"
     );
     // Two forget: the third holds what was founded, and the last change is theirs to lose.
-    (keepers[0], keepers[1]) = (start(2, 40), start(2, 40));
+    (keepers[0], keepers[1]) = (start(0, 2, 40), start(1, 2, 40));
     assert_eq!(
         change(&mut keepers, 2, 4, 50),
         Some(Outcome::NoMajority),
--- a/cluster/tests/register_model.rs
+++ b/cluster/tests/register_model.rs
@@ -92,14 +92,19 @@
         }
     }
 
+    fn others(keeper: usize) -> BTreeSet<Number> {
+        (0..KEEPERS).filter(|n| usize::from(*n) != keeper).map(Number).collect()
+    }
+
     /// A keeper that votes and holds nothing, as after a founding.
-    fn voting(life: u64, now: Duration) -> Keeper<Value> {
+    fn voting(keeper: usize, life: u64, now: Duration) -> Keeper<Value> {
+        let others = Keeping::others(keeper);
         let mut keeper =
-            Keeper::with_vote_kept_back(Life::from_unix_ms(life), usize::from(KEEPERS), now, Duration::ZERO);
-        for from in 10..12 {
+            Keeper::with_vote_kept_back(Life::from_unix_ms(life), others.clone(), now, Duration::ZERO);
+        for from in others {
             let to = Life::from_unix_ms(life);
             let told = Answer::Told { to, promised: Ballot::default(), held: None };
-            keeper.told(Number(from), told);
+            keeper.told(from, told);
         }
         keeper
     }
@@ -136,7 +141,7 @@
     type Action = Event;
 
     fn init_states(&self) -> Vec<World> {
-        let keepers = (0..KEEPERS).map(|_| Keeping::voting(1, Duration::ZERO)).collect();
+        let keepers = (0..usize::from(KEEPERS)).map(|k| Keeping::voting(k, 1, Duration::ZERO)).collect();
         let (lives, askers) = (vec![1; usize::from(KEEPERS)], vec![None, None]);
         vec![World {
             step: 0,
@@ -183,9 +188,9 @@
                 world.lives[k] += 1;
                 let life = Life::from_unix_ms(world.lives[k]);
                 world.keepers[k] = if self.without == Without::Learning {
-                    Keeping::voting(world.lives[k], now)
+                    Keeping::voting(k, world.lives[k], now)
                 } else {
-                    Keeper::with_vote_kept_back(life, usize::from(KEEPERS), now, self.kept_back())
+                    Keeper::with_vote_kept_back(life, Keeping::others(k), now, self.kept_back())
                 };
             }
             Event::AsksOthers(k) => {
