A silent watch is given up half a second after its wait, and asked anew at once

Ruled out: the time from decision to first byte (each send in the trace is written when it is decided), parsing (answers with news take 16 ms at the median, 558 ms at most, with 300 agents), older answers over newer (one watch at a time, none overlapped). At fault: HOLD + ANSWER_WAIT in sources/platform.rs, and that its failure waited for the module's pace.

Now sources/freshness.rs decides, without I/O, what is asked and when: a watch waits for at most what the settings give for asking (half to all of it, drawn, so that a fleet's watches do not end in one moment), is given up 500 ms after (empty answers came 0 to 8 ms after their wait, 405 of them, 300 agents), and what it may have missed is asked for at once on new connections, one more each half second. An older version never replaces a newer one. Nothing new is sent to a server from the moment it is known to drain: the grace is left to what comes late. Pushed lists wait 2 s, and a source that was down is heard within a quarter of the grace.

Tests: loopback drains.rs on both ways in which lists come; with the old figures neither ends in time.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -12,10 +12,11 @@
 use crate::log::{log, log_events};
 use crate::peers::Peers;
 use crate::share::file::{Holds, Share};
+use crate::sources::freshness::Terms;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
 use crate::upstream::pool::Pool;
-use ryelead::{Discovery, ReportSource, Settings, Span};
+use ryelead::{ReportSource, Settings, Span};
 use std::future::{pending, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -70,7 +71,7 @@
         let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
         let classes = classes.collect();
         let longest = length(settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
-        let pushed = settings.discovery == Discovery::Pushed;
+        let terms = Terms::of(&settings);
         let bodies = Budget::new(config.body_bytes);
         let pool = Pool::new(
             config.backend_connections,
@@ -99,7 +100,7 @@
         });
         let mut tasks = vec![
             task(driver.clone().run()),
-            task(platform::run(driver.clone(), Rc::clone(&commands), version, pushed)),
+            task(platform::run(driver.clone(), Rc::clone(&commands), version, terms, config.seed)),
             task(Rc::clone(&server).sweep()),
         ];
         tasks.extend(tally);
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -254,7 +254,7 @@
         tokio::task::spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let owner = Sending { driver: &driver, id, attempt, server };
+                    let owner = Sending { driver: &driver, id, attempt, place };
                     let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
                     driver.leave(server);
                     ended
@@ -289,8 +289,8 @@
     }
 
     /// For a drain a send counts from its first byte, which a wait for a connection may put off.
-    fn may_send(&self, server: ServerId) -> bool {
-        self.0.core.borrow().servers.may_send(server)
+    fn may_send(&self, place: Place) -> bool {
+        self.0.core.borrow().servers.is_current(place.server, place.life)
     }
 
     /// An attempt or a probe is no longer out.
@@ -356,12 +356,12 @@
     driver: &'a Driver,
     id: RequestId,
     attempt: u32,
-    server: ServerId,
+    place: Place,
 }
 
 impl Owner for Sending<'_> {
     fn may_send(&self) -> bool {
-        self.driver.may_send(self.server)
+        self.driver.may_send(self.place)
     }
 
     fn bind(&self) {
--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -7,8 +7,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A server that drains or is gone is sent nothing from this on before the grace is over.
-const DRAIN_RESERVE: Duration = Duration::from_millis(100);
 /// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
 const FORGET_AFTER: Duration = Duration::from_secs(1);
 /// Names of zones or kinds that the settings don't hold are few; past this they share one number.
@@ -86,13 +84,9 @@
         }
     }
 
-    /// True if something new may still go to a server.
-    pub fn may_send(&self, server: ServerId) -> bool {
-        let in_time = |since: Instant| since.elapsed() + DRAIN_RESERVE < self.drain_grace;
-        self.servers.get(&server).is_some_and(|s| s.off_since.is_none_or(in_time))
-    }
-
-    /// True if a connection to this life of a server may be kept.
+    /// True if something new may go to this life of a server, and connections to it may be kept. The grace of the settings is
+    /// left to what comes late: a list that was long on its way or waited for the processor may have counted as told for
+    /// a part of it.
     pub fn is_current(&self, server: ServerId, life: u64) -> bool {
         self.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
     }
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -1,40 +1,39 @@
-//! Asks the platform's discovery for the list of backends: a watch on changes, and the whole list once.
+//! Asks the platform's discovery for the list of backends. What is asked, and when, is decided by [`Freshness`]; here are the
+//! calls.
 
 use crate::driver::Driver;
 use crate::list::{Commands, ListReply};
+use crate::log::log;
+use crate::sources::freshness::{Ask, Fault, Freshness, News, Terms, Then};
 use crate::tally::Count;
 use crate::wire::{Gauge, Wire};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
 
-/// How long a watch waits for news.
-const HOLD: Duration = Duration::from_secs(20);
-/// How long a call may take besides that; the service gives up its own calls well before.
-const ANSWER_WAIT: Duration = Duration::from_secs(5);
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
-/// How long a new source may take for its first answer before it is asked again, and the pause before that: what it
-/// has to tell must be known within 4 s.
-const MOVED_WAIT: Duration = Duration::from_millis(2500);
-const MOVED_PAUSE: Duration = Duration::from_millis(150);
+/// How long a call of the module's for the whole list may take.
+const FETCH_WAIT: Duration = Duration::from_secs(5);
 /// The whole list; with a version it is a watch on what is newer.
 const LIST_PATH: &str = "/registry/instances";
-/// The largest list that is read.
+/// The largest list that is read: some tens of thousands of lines.
 const LIST_MOST: usize = 8 * 1024 * 1024;
-/// Pause after an answer that came at once and brought nothing new, so that a discovery which does not wait is not
-/// asked without end; well within the 200 ms that may lie between two watches.
-const EMPTY_PAUSE: Duration = Duration::from_millis(100);
-/// Pause before a pushed list is asked for again; the source is on the same machine.
-const PUSHED_PAUSE: Duration = Duration::from_millis(500);
+/// An answer that has begun and of which nothing more has come for this long will not be whole; nor one that has not
+/// ended after the longer one. What it tells may count as told from its first byte.
+const STALL: Duration = Duration::from_millis(250);
+const BODY_WAIT: Duration = Duration::from_secs(2);
+/// How long a connection may take to be ready for the next call.
+const SETTLE_WAIT: Duration = Duration::from_millis(50);
 
 /// A kept connection to discovery; it is closed when this is dropped.
 struct Line {
@@ -48,55 +47,88 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Line> {
-    let stream = timeout(CONNECT_WAIT, TcpStream::connect(address)).await.ok()?.ok()?;
+async fn connect(address: SocketAddr) -> Result<Line, Fault> {
+    let stream = timeout(CONNECT_WAIT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Failed)?;
     let (wire, _) = Wire::new(stream, Gauge::default().enter());
-    let (sender, connection) = http1::handshake(wire).await.ok()?;
+    let (sender, connection) = http1::handshake(wire).await.map_err(|_| Fault::Failed)?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
-    Some(Line { sender, task: task.abort_handle() })
+    Ok(Line { sender, task: task.abort_handle() })
 }
 
-/// One call; `None` if it failed in whatever way.
-async fn call(address: SocketAddr, line: &mut Option<Line>, path: &str) -> Option<ListReply> {
-    // A line that discovery has closed between two calls is no failure of the next one.
-    let mut kept = line.take().filter(|l| l.sender.is_ready());
-    if kept.is_none() {
-        kept = connect(address).await;
-    }
-    let mut kept = kept?;
-    let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
-    let answer = kept.sender.send_request(request).await.ok()?;
+/// A list, and the connection that it came on if that can be used again.
+type Listed = (ListReply, Option<Line>);
+
+/// One call, whose answer begins within `wait`.
+async fn call(
+    address: SocketAddr,
+    kept: Option<Line>,
+    path: String,
+    wait: Duration,
+) -> Result<Listed, Fault> {
+    let answer = async {
+        // A line that discovery has closed between two calls is no failure of the next one.
+        let mut line = match kept.filter(|line| line.sender.is_ready()) {
+            Some(line) => line,
+            None => connect(address).await?,
+        };
+        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new());
+        let answer = line.sender.send_request(request.map_err(|_| Fault::Failed)?).await;
+        Ok((line, answer.map_err(|fault| if fault.is_parse() { Fault::Garbled } else { Fault::Failed })?))
+    };
+    let (mut line, answer) = timeout(wait, answer).await.map_err(|_| Fault::Silent)??;
     if answer.status() != StatusCode::OK {
-        return None;
+        return Err(Fault::Failed);
     }
-    let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
-    let list = serde_json::from_slice(&body).ok()?;
-    if timeout(Duration::from_millis(50), kept.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
-        *line = Some(kept);
+    let body = timeout(BODY_WAIT, whole(answer.into_body())).await.map_err(|_| Fault::Garbled)??;
+    let list = serde_json::from_slice(&body).map_err(|_| Fault::Garbled)?;
+    let ready = timeout(SETTLE_WAIT, line.sender.ready()).await.is_ok_and(|ready| ready.is_ok());
+    Ok((list, ready.then_some(line)))
+}
+
+async fn whole(mut body: Incoming) -> Result<Bytes, Fault> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = timeout(STALL, body.frame()).await.map_err(|_| Fault::Garbled)? {
+        let Ok(data) = frame.map_err(|_| Fault::Garbled)?.into_data() else { continue };
+        if read.len() + data.len() > LIST_MOST {
+            return Err(Fault::Garbled);
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
+
+fn path(from: Option<i64>, hold: Duration) -> String {
+    match from {
+        Some(from) => format!("{LIST_PATH}?from={from}&hold_ms={}", hold.as_millis()),
+        None => LIST_PATH.into(),
     }
-    Some(list)
 }
 
 /// Asks discovery wherever it is for as long as the agent lives. `known` is the version of the list that the agent
-/// started with; `pushed`: the list is sent by itself.
-pub async fn run(driver: Driver, commands: Rc<Commands>, known: i64, pushed: bool) {
+/// started with.
+pub async fn run(driver: Driver, commands: Rc<Commands>, known: i64, terms: Terms, seed: u64) {
     let mut source = commands.source();
-    if pushed {
+    if terms.pushed {
         commands.follow(true);
     }
     // What the agent was told at its start came from the first source.
     let mut version = Some(known);
     loop {
         let address = *source.borrow_and_update();
-        let asking = Asking { driver: &driver, commands: &commands, address, version: Cell::new(version) };
+        let freshness = RefCell::new(Freshness::new(terms, version, seed));
+        let asking =
+            Asking { driver: &driver, commands: &commands, address, freshness, doubted: Cell::new(false) };
         tokio::select! {
-            () = asking.watch(pushed) => return,
+            () = asking.follow() => return,
             () = asking.fetch() => return,
             // The calls that are out end here: what the old source still answers must not overwrite the new list.
             moved = source.changed() => if moved.is_err() { return },
         }
+        // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever the
+        // module is waiting for, until it has answered. What is known stands till then.
         version = None;
     }
 }
@@ -106,64 +138,49 @@
     driver: &'a Driver,
     commands: &'a Commands,
     address: SocketAddr,
-    /// The version of the list that this source has told; another source's versions say nothing here.
-    version: Cell<Option<i64>>,
+    freshness: RefCell<Freshness>,
+    /// It has been said that something is wrong with this source, and nothing has been right since.
+    doubted: Cell<bool>,
 }
 
 impl Asking<'_> {
-    fn listed(&self, list: ListReply) {
-        self.version.set(Some(list.rev));
-        self.driver.listed(list);
-    }
-
-    /// One call; `None` if it failed or took longer than `wait`.
-    async fn call(&self, wait: Duration, line: &mut Option<Line>, path: &str) -> Option<ListReply> {
-        self.driver.tally().count(Count::ListCall);
-        let answer = timeout(wait, call(self.address, line, path)).await.ok().flatten();
-        if answer.is_none() {
-            self.driver.tally().count(Count::ListFailed);
-        }
-        answer
-    }
-
-    /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
-    /// all times, and a failure is no news to the module, which has asked for nothing.
-    async fn watch(&self, pushed: bool) {
+    /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at all times.
+    async fn follow(&self) {
         let mut following = self.commands.following();
         let mut line = None;
-        // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
-        // the module is waiting for, until it has answered. What is known stands till then.
-        while self.version.get().is_none() {
-            match self.call(MOVED_WAIT, &mut line, LIST_PATH).await {
-                Some(list) => self.listed(ListReply { all: true, ..list }),
-                None => sleep(MOVED_PAUSE).await,
-            }
-        }
         loop {
-            if following.wait_for(|active| *active).await.is_err() {
+            if self.freshness.borrow().version().is_some()
+                && following.wait_for(|active| *active).await.is_err()
+            {
                 return;
             }
-            let version = self.version.get().unwrap_or_default();
-            let path = format!("{LIST_PATH}?from={version}&hold_ms={}", HOLD.as_millis());
+            let ask = self.freshness.borrow_mut().ask();
             let asked = Instant::now();
-            let answer = tokio::select! {
-                answer = self.call(HOLD + ANSWER_WAIT, &mut line, &path) => answer,
-                _ = following.wait_for(|active| !active) => continue,
+            let answer = match ask {
+                Ask::Watch { from, hold, give_up } => tokio::select! {
+                    answer = self.call(line.take(), path(Some(from), hold), give_up) => answer,
+                    _ = following.wait_for(|active| !active) => continue,
+                },
+                Ask::AtOnce { from, every, wait, most } => {
+                    line = None;
+                    self.at_once(path(from, Duration::ZERO), every, wait, most).await
+                }
             };
             match answer {
-                Some(list) => {
-                    let empty = Some(list.rev) == self.version.get() && asked.elapsed() < EMPTY_PAUSE;
-                    self.listed(list);
-                    if empty {
-                        sleep(EMPTY_PAUSE).await;
-                    }
-                }
-                None if pushed => sleep(PUSHED_PAUSE).await,
-                None => {
-                    line = None;
-                    self.commands.follow(false);
-                    self.driver.list_failed();
+                Ok((list, kept)) => {
+                    line = kept;
+                    let list =
+                        ListReply { all: list.all || matches!(ask, Ask::AtOnce { from: None, .. }), ..list };
+                    sleep(self.listed(list, asked)).await;
                 }
+                Err(fault) => match self.missed(fault) {
+                    Then::Ask => {}
+                    Then::Pause(pause) => sleep(pause).await,
+                    Then::TellModule => {
+                        self.commands.follow(false);
+                        self.driver.list_failed();
+                    }
+                },
             }
         }
     }
@@ -172,12 +189,88 @@
     async fn fetch(&self) {
         loop {
             self.commands.fetch_wanted().await;
-            match self.call(ANSWER_WAIT, &mut None, LIST_PATH).await {
-                Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
-                // The watch has brought something newer meanwhile.
-                Some(_) => {}
-                None => self.driver.list_failed(),
+            let asked = Instant::now();
+            match self.call(None, path(None, Duration::ZERO), FETCH_WAIT).await {
+                Ok((list, _)) => drop(self.listed(list, asked)),
+                Err(_) => self.driver.list_failed(),
             }
         }
     }
+
+    async fn call(&self, kept: Option<Line>, path: String, wait: Duration) -> Result<Listed, Fault> {
+        self.driver.tally().count(Count::ListCall);
+        let answer = call(self.address, kept, path, wait).await;
+        if answer.is_err() {
+            self.driver.tally().count(Count::ListFailed);
+        }
+        answer
+    }
+
+    /// The first answer of several calls that are made one after the other while none has come: each has a connection
+    /// of its own, of which the one before may be the silent one.
+    async fn at_once(
+        &self,
+        path: String,
+        every: Duration,
+        wait: Duration,
+        most: Option<u32>,
+    ) -> Result<Listed, Fault> {
+        let mut calls = JoinSet::new();
+        let mut made = 0;
+        loop {
+            let may = most.is_none_or(|most| made < most);
+            if may {
+                self.driver.tally().count(Count::ListCall);
+                calls.spawn_local(call(self.address, None, path.clone(), wait));
+                made += 1;
+            }
+            let pause = sleep(if may { every } else { wait });
+            tokio::pin!(pause);
+            loop {
+                let ended = tokio::select! {
+                    () = pause.as_mut() => break,
+                    Some(ended) = calls.join_next() => ended.unwrap_or(Err(Fault::Failed)),
+                };
+                match ended {
+                    Ok(listed) => return Ok(listed),
+                    Err(fault) => {
+                        self.driver.tally().count(Count::ListFailed);
+                        if calls.is_empty() && most.is_some_and(|most| made >= most) {
+                            return Err(fault);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// A list has come; how long to pause then.
+    fn listed(&self, list: ListReply, asked: Instant) -> Duration {
+        let (now, known) = (Instant::now(), self.freshness.borrow().version());
+        let (news, pause) = self.freshness.borrow_mut().answered(now, list.rev, now - asked);
+        match news {
+            News::Take => {
+                if self.doubted.replace(false) {
+                    log(&format!("the list of {} is heard again", self.address));
+                }
+                self.driver.listed(list);
+            }
+            News::Older => {
+                self.doubt(&format!("it tells version {} after {}", list.rev, known.unwrap_or_default()));
+            }
+        }
+        pause
+    }
+
+    fn missed(&self, fault: Fault) -> Then {
+        self.doubt(&fault.to_string());
+        self.freshness.borrow_mut().missed(fault)
+    }
+
+    /// Said once, until a list has come again.
+    fn doubt(&self, what: &str) {
+        if !self.doubted.replace(true) {
+            log(&format!("the list of {} is as old as it is: {what}", self.address));
+        }
+    }
 }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod clients;
+mod drains;
 mod fleet;
 mod limits;
 mod lists;
--- a/lab/src/emulate/agent.rs
+++ b/lab/src/emulate/agent.rs
@@ -16,9 +16,6 @@
 /// What the program keeps back of a client's time for an attempt, and for the answer.
 const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
 const ANSWER_RESERVE: Duration = Duration::from_millis(6);
-/// What it keeps back of a drain's grace.
-const DRAIN_RESERVE: Duration = Duration::from_millis(100);
-const DRAIN_GRACE: Duration = Duration::from_secs(2);
 /// A probe that is not answered by then has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// A connection rests for this share of the time after which a server closes it.
@@ -48,7 +45,8 @@
     /// Flights that have not ended.
     out: BTreeSet<usize>,
     /// Since when each server is off, as it was told.
-    off_since: BTreeMap<ServerIndex, At>,
+    /// Those that drain or are gone.
+    off: BTreeSet<ServerIndex>,
     /// Counts what it takes for lives of a server, with the start that it was told.
     lives: BTreeMap<ServerIndex, (u64, Option<At>)>,
     follows: bool,
@@ -71,7 +69,7 @@
             next_request: 0,
             idle: BTreeMap::new(),
             out: BTreeSet::new(),
-            off_since: BTreeMap::new(),
+            off: BTreeSet::new(),
             lives: BTreeMap::new(),
             follows: false,
             version: None,
@@ -82,8 +80,8 @@
     }
 
     /// For a drain a send counts from its first byte.
-    fn may_send(&self, server: ServerIndex, now: At) -> bool {
-        self.off_since.get(&server).is_none_or(|since| now.since(*since) + DRAIN_RESERVE < DRAIN_GRACE)
+    fn may_send(&self, server: ServerIndex) -> bool {
+        !self.off.contains(&server)
     }
 
     fn life_of(&self, server: ServerIndex) -> u64 {
@@ -384,7 +382,7 @@
             let life = self.agents[agent].life_of(server);
             self.flights[place].connection = Connection { life, ..self.accept(server) };
         }
-        if attempt.is_some() && !self.agents[agent].may_send(server, self.now) {
+        if attempt.is_some() && !self.agents[agent].may_send(server) {
             self.give_back(place);
             return self.ended(place, Outcome::NotSent, None);
         }
@@ -456,7 +454,7 @@
                 let one = &self.agents[agent];
                 let keep = self.now.since(connection.since) < rest
                     && connection.life == one.life_of(server)
-                    && !one.off_since.contains_key(&server);
+                    && !one.off.contains(&server);
                 if !keep {
                     self.close(server, *connection);
                 }
@@ -540,9 +538,9 @@
                 Word::Gone => Status::Gone,
             };
             if status == Status::Serving {
-                one.off_since.remove(&server);
+                one.off.remove(&server);
             } else {
-                one.off_since.entry(server).or_insert(now);
+                one.off.insert(server);
             }
             if status != Status::Serving || started != born {
                 self.close_idle(agent, server);
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -6,6 +6,7 @@
 use crate::judge::evidence::{AgentIndex, Book, ServerIndex, Told, Word};
 use crate::standins::http::{answer, Reader};
 use std::collections::HashMap;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -153,6 +154,8 @@
     book: Book,
     health: Mutex<Health>,
     changed: watch::Sender<u64>,
+    /// How often all calls that were out fell silent.
+    silences: watch::Sender<u64>,
     asked: watch::Sender<Vec<String>>,
     place: Mutex<(SocketAddr, AbortHandle)>,
 }
@@ -183,6 +186,7 @@
             book,
             health: Mutex::new(health),
             changed: watch::Sender::new(0),
+            silences: watch::Sender::new(0),
             asked: watch::Sender::default(),
             place: Mutex::new((address, nothing)),
         }));
@@ -214,6 +218,11 @@
         self.0.changed.send_modify(|n| *n += 1);
     }
 
+    /// All calls that are out fall silent for good, and their connections stay open; later calls are answered.
+    pub fn silence(&self) {
+        self.0.silences.send_modify(|n| *n += 1);
+    }
+
     /// Answers so much later from now on.
     pub fn delay(&self, delay: Duration) {
         locked(&self.0.health).delay = delay;
@@ -252,7 +261,13 @@
         while let Ok(incoming) = reader.next(|_, _| true).await {
             let path = incoming.message.path().to_string();
             self.0.asked.send_modify(|asked| asked.push(path.clone()));
-            let Some((text, told)) = self.answer(&path).await else { return };
+            let mut silences = self.0.silences.subscribe();
+            silences.borrow_and_update();
+            let answer = tokio::select! {
+                answer = self.answer(&path) => answer,
+                Ok(()) = silences.changed() => pending().await,
+            };
+            let Some((text, told)) = answer else { return };
             let delay = locked(&self.0.health).delay;
             if !delay.is_zero() {
                 sleep(delay).await;
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -162,6 +162,11 @@
         self.registry.set_raw(targets);
     }
 
+    /// What has been asked and not answered never will be, and its connections stay open.
+    pub fn silence(&self) {
+        self.view.silence();
+    }
+
     /// Down: watches end and calls fail.
     pub fn set_down(&self, down: bool) {
         self.view.ail(if down { Ailment::Down } else { Ailment::None });
