Spoilt answers of discovery by name in the lab, and drains that are told by them

Need: what an answer that is cut, never ends, makes no sense or is older tells may count as told when it was written, and nothing in the lab could cause one. The stand-in of discovery spoils its next answers by name (cut, endless, garbled, indented, older); calls that are out can fall silent for good. Names of zones and kinds: 4,096 in place of 1,000.

--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -10,7 +10,7 @@
 /// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
 const FORGET_AFTER: Duration = Duration::from_secs(1);
 /// Names of zones or kinds that the settings don't hold are few; past this they share one number.
-const NAMES_MOST: u32 = 1000;
+const NAMES_MOST: u32 = 4096;
 
 struct Server {
     place: Place,
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -5,7 +5,7 @@
 use crate::clock::{At, Clock};
 use crate::judge::evidence::{AgentIndex, Book, ServerIndex, Told, Word};
 use crate::standins::http::{answer, Reader};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -140,12 +140,41 @@
     Stale,
 }
 
+/// What is wrong with one answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Spoil {
+    /// The connection ends in the middle of it.
+    Cut,
+    /// It stops in the middle, and its connection stays open.
+    Endless,
+    /// Its braces are gone.
+    Garbled,
+    /// It is whole and sound, and each part of it stands on a line of its own.
+    Indented,
+    /// It tells the list as it stood when this was last asked for by [`View::remember`], whole, with its version of then.
+    Older,
+}
+
 struct Health {
     ailment: Ailment,
     stale: Option<List>,
+    remembered: Option<List>,
+    /// What is wrong with the next answers, one each.
+    spoils: VecDeque<Spoil>,
     delay: Duration,
 }
 
+/// How an answer ends.
+enum End {
+    /// It is whole.
+    None,
+    /// With its connection.
+    Cut,
+    /// Not at all.
+    Open,
+}
+
 struct Inner {
     agent: AgentIndex,
     registry: Registry,
@@ -176,7 +205,9 @@
     ) -> std::io::Result<View> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let health = Health { ailment: Ailment::None, stale: None, delay: Duration::ZERO };
+        let (remembered, spoils) = Default::default();
+        let health =
+            Health { ailment: Ailment::None, stale: None, remembered, spoils, delay: Duration::ZERO };
         let nothing = tokio::spawn(async {}).abort_handle();
         let view = View(Arc::new(Inner {
             agent,
@@ -223,6 +254,16 @@
         self.0.silences.send_modify(|n| *n += 1);
     }
 
+    /// Keeps the list as it stands for answers that are [`Spoil::Older`].
+    pub fn remember(&self) {
+        locked(&self.0.health).remembered = Some(self.0.registry.list.borrow().clone());
+    }
+
+    /// The next answers are spoilt, one in each of these ways.
+    pub fn spoil(&self, ways: &[Spoil]) {
+        locked(&self.0.health).spoils.extend(ways);
+    }
+
     /// Answers so much later from now on.
     pub fn delay(&self, delay: Duration) {
         locked(&self.0.health).delay = delay;
@@ -272,6 +313,7 @@
             if !delay.is_zero() {
                 sleep(delay).await;
             }
+            let (text, told, end) = self.spoilt(text, told);
             // From the write on the agent can act on it, and no earlier.
             if output.write_all(text.as_bytes()).await.is_err() {
                 return;
@@ -279,6 +321,40 @@
             let (at, agent) = (self.0.clock.now(), self.0.agent);
             let told = told.into_iter().map(|(server, word)| Told { agent, server, word, at });
             self.0.book.open().told.extend(told);
+            match end {
+                End::None => {}
+                End::Cut => return,
+                End::Open => pending().await,
+            }
+        }
+    }
+
+    /// The answer as it goes out: what is wrong with it, and how it ends. What a spoilt one tells counts as told.
+    fn spoilt(
+        &self,
+        text: String,
+        told: Vec<(ServerIndex, Word)>,
+    ) -> (String, Vec<(ServerIndex, Word)>, End) {
+        let (way, older) = {
+            let mut health = locked(&self.0.health);
+            (health.spoils.pop_front(), health.remembered.clone())
+        };
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        match (way, older) {
+            (Some(Spoil::Cut), _) => (text[..text.len() - body.len() / 2 - 1].into(), told, End::Cut),
+            (Some(Spoil::Endless), _) => (text[..text.len() - body.len() / 2 - 1].into(), told, End::Open),
+            (Some(Spoil::Garbled), _) => {
+                (format!("{head}\r\n\r\n{}", body.replace('{', "?")), told, End::None)
+            }
+            (Some(Spoil::Indented), _) => {
+                let lines = body.replace(",\"", ",\n    \"").replace('{', "{\n    ");
+                (answer(200, "Content-Type: application/json\r\n", &lines), told, End::None)
+            }
+            (Some(Spoil::Older), Some(list)) => {
+                let (text, told) = self.tell(&list, &list.entries, true);
+                (text, told, End::None)
+            }
+            (Some(Spoil::Older) | None, _) => (text, told, End::None),
         }
     }
 
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::judge::evidence::Book;
 use crate::standins::booking::{Act, Booking, Figures, Repeats, Seen, Setup};
+pub use crate::standins::discovery::Spoil;
 use crate::standins::discovery::{Ailment, Registry, View};
 use crate::standins::http::{answer, Message};
 use crate::world::platform;
@@ -167,6 +168,16 @@
         self.view.silence();
     }
 
+    /// The next answers are spoilt, one in each of these ways.
+    pub fn spoil(&self, ways: &[Spoil]) {
+        self.view.spoil(ways);
+    }
+
+    /// Answers that are [`Spoil::Older`] tell the list as it stands now.
+    pub fn remember(&self) {
+        self.view.remember();
+    }
+
     /// Down: watches end and calls fail.
     pub fn set_down(&self, down: bool) {
         self.view.ail(if down { Ailment::Down } else { Ailment::None });
