The lab's silence comes before the news told right after it

Seen: with a watch given up 8 s after its wait, both loopback tests of silent watches passed. At fault: the stand-in of discovery chose at random between the silence and a change that came in the same moment, and so often answered the call that should have fallen silent. The silence is looked at first now. With 8 s of slack both tests fail (765 and 1,719 ms asked for), with the program's 500 ms all six of drains.rs pass; with garbled answers left to the module's pace the test of cut answers fails as well (12.3 s).

--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -304,9 +304,11 @@
             // Before anybody can see the call: whoever does may silence it.
             let mut silences = self.0.silences.subscribe();
             self.0.asked.send_modify(|asked| asked.push(path.clone()));
+            // News that come with the silence are not told: the silence is looked at first.
             let answer = tokio::select! {
-                answer = self.answer(&path) => answer,
+                biased;
                 Ok(()) = silences.changed() => pending().await,
+                answer = self.answer(&path) => answer,
             };
             let Some((text, told)) = answer else { return };
             let delay = locked(&self.0.health).delay;
