Nothing begins for a client that has left while its attempt was on its way

Cause: a send counts from its first byte, and what is asked before it (may_send in driver.rs) looked at the server alone; depart looks whether an answer is owed before the wait for a connection, which takes up to 1.5 s. And hyper reads no close behind bytes that it holds unread, nor while a server takes nothing of a long request, so that nobody was told of it. Seen by loopback: the client leaves, the connection comes up a second later, and the first bytes on it are that client's request (read, once and all; behind bytes after the request; behind half a long one). Ruled out: requests that are held, looked for, or between two attempts: the module forgets them with ClientGone.

Change: the first byte goes only while an answer is owed; the close is looked for beside the answer, woken by the socket, or each 25 ms where bytes stand unread. What has begun goes on as before. A close behind more than the machine's buffers take can't be seen by anybody.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -288,9 +288,11 @@
         }
     }
 
-    /// For a drain a send counts from its first byte, which a wait for a connection may put off.
-    fn may_send(&self, place: Place) -> bool {
-        self.0.core.borrow().servers.is_current(place.server, place.life)
+    /// A send counts from its first byte, which a wait for a connection may put off: its server may have been told to drain
+    /// since, and its client may have gone or have its answer.
+    fn may_send(&self, id: RequestId, place: Place) -> bool {
+        let core = self.0.core.borrow();
+        core.servers.is_current(place.server, place.life) && core.requests.is_owed(id)
     }
 
     /// An attempt or a probe is no longer out.
@@ -361,7 +363,7 @@
 
 impl Owner for Sending<'_> {
     fn may_send(&self) -> bool {
-        self.driver.may_send(self.place)
+        self.driver.may_send(self.id, self.place)
     }
 
     fn bind(&self) {
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -38,6 +38,9 @@
 /// When to come back if there was no memory for a body: others are done with theirs by then.
 const BODY_RETRY: Span = Span(100_000);
 
+/// Nobody reads this.
+const CLIENT_GONE: Fault = (StatusCode::BAD_REQUEST, "the client has gone");
+
 /// The clients' side of the agent.
 pub struct Server {
     driver: Driver,
@@ -199,14 +202,16 @@
             rest.into_iter().for_each(Remainder::give_up);
             return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
-        // Dropped by hyper with this future when the client closes its connection.
+        // Dropped by hyper with this future when it reads that the client has closed its connection. It reads nothing behind
+        // bytes that came after the request, nor while a server takes nothing of a long one.
         let _pending = Pending { driver: self.driver.clone(), id };
-        let mut answer = pin!(answer);
+        let (mut answer, mut closed) = (pin!(answer), pin!(seat.view().closed()));
         if let Some(mut rest) = rest {
             let poured = tokio::select! {
                 biased;
                 answer = answer.as_mut() => Err(Ok(answer)),
                 poured = rest.pour(seat, bytes) => poured.map_err(Err),
+                () = closed.as_mut() => Err(Err(CLIENT_GONE)),
             };
             if let Err(over) = poured {
                 rest.give_up();
@@ -218,7 +223,12 @@
             self.driver.whole(id, deadline);
         }
         seat.take();
-        Ok(worded(timeout_at(deadline - ANSWER_RESERVE.min(deadline - Instant::now()), answer).await))
+        let by = deadline - ANSWER_RESERVE.min(deadline - Instant::now());
+        tokio::select! {
+            biased;
+            answer = timeout_at(by, answer) => Ok(worded(answer)),
+            () = closed => Err(CLIENT_GONE),
+        }
     }
 }
 
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -122,6 +122,11 @@
         Some(open.reply.is_none())
     }
 
+    /// True while a request is owed its answer: its client waits, and nothing has been given.
+    pub fn is_owed(&self, id: RequestId) -> bool {
+        self.open.get(&id).is_some_and(|open| open.reply.is_some())
+    }
+
     /// All of a request has come that was still coming.
     pub fn whole(&mut self, id: RequestId, deadline: Instant) {
         if let Some(open) = self.open.get_mut(&id) {
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -154,7 +154,8 @@
 
 /// What an attempt asks of those who sent it.
 pub trait Owner {
-    /// Whether the first byte may go now: a server may have been told to drain while the connection was on its way.
+    /// Whether the first byte may go now: while the connection was on its way a server may have been told to drain, and a
+    /// client may have gone.
     fn may_send(&self) -> bool;
     /// A long request is about to be sent with this attempt, and can't be sent with another.
     fn bind(&self);
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -10,13 +10,18 @@
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// Read at a time; a message is seldom longer.
 const CHUNK: usize = 8 * 1024;
 
+/// How often it is looked whether a peer has closed behind bytes that nobody reads: without such bytes the close itself wakes
+/// whoever waits for it. A client counts as gone 100 ms after its close.
+const UNREAD_EVERY: Duration = Duration::from_millis(25);
+
 /// What the kernel holds of an answer that its client has not taken. Clients are on the same machine and lose nothing by
 /// it; with a buffer that grows to megabytes a slow reader would look for many seconds like one that takes nothing.
 const SEND_BUFFER: usize = 64 * 1024;
@@ -150,6 +155,16 @@
         }
     }
 
+    /// Comes back when the peer has closed, or the connection has broken, also behind bytes that nobody has read.
+    pub async fn closed(&self) {
+        while let Some(stream) = self.stream.upgrade() {
+            match stream.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => sleep(UNREAD_EVERY).await,
+                _ => return,
+            }
+        }
+    }
+
     /// True if the peer has sent something that waits to be read.
     pub fn has_unread(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| matches!(peek(&stream), Ok(n) if n > 0))
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod drains;
 mod fleet;
+mod leaving;
 mod limits;
 mod lists;
 mod long;
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -136,6 +136,51 @@
     }
 }
 
+/// A server whose connections come up when the test says so, and not before: until then nothing answers whoever dials, as
+/// with a machine that is slow to come up.
+pub struct LateBackend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// They fill its queue of connections; what comes beyond it is not answered.
+    fillers: Vec<socket2::Socket>,
+}
+
+impl Default for LateBackend {
+    fn default() -> Self {
+        let socket = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let listener = socket().expect("a socket");
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+        listener.listen(0).expect("a socket");
+        let listener = TcpListener::from(listener);
+        let address = listener.local_addr().expect("an address");
+        let mut fillers = Vec::new();
+        // Nothing more comes up once one has not at once: what is on this machine comes up as it is asked for.
+        loop {
+            let filler = socket().expect("a socket");
+            if filler.connect_timeout(&address.into(), Duration::from_millis(100)).is_err() {
+                break;
+            }
+            fillers.push(filler);
+        }
+        LateBackend { address, listener, fillers }
+    }
+}
+
+impl LateBackend {
+    /// What dials comes up from here on, when its machine asks once more. The first connection of an agent's.
+    pub fn come_up(&mut self) -> TcpStream {
+        let own: Vec<_> = self.fillers.iter().map(|f| f.local_addr().expect("an address")).collect();
+        loop {
+            let (stream, from) = self.listener.accept().expect("a connection");
+            if !own.iter().any(|own| own.as_socket() == Some(from)) {
+                stream.set_read_timeout(Some(BOUND)).expect("a socket");
+                return stream;
+            }
+        }
+    }
+}
+
 /// A list that tests change in the protocol's own words, and what was asked of it.
 pub struct Discovery {
     /// Where it listens.
@@ -343,6 +388,12 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
     }
 
+    /// One whole exchange on a connection of its own: what other connections had for the agent before has been read then.
+    pub fn catch_up(&self) {
+        let ask = "GET /health/ready HTTP/1.1\r\nHost: agent\r\n\r\n";
+        assert_eq!(Client::to(self).ask(ask).status(), 200);
+    }
+
     /// Waits for the end; the exit code.
     pub fn ended(&mut self) -> Option<i32> {
         let start = Instant::now();
