--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,9 +103,9 @@
 const SHARE_SLACK: f64 = 1.4;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds to it, since
-/// calls that fail cost discovery too; and the longest: news count as told 6 s after they could be had, of which
-/// a call that hangs takes 2.5 s, half as long a pause again 2.1 s, and the one after it 1.4 s.
+/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds to it; the
+/// longest: of the 6 s after which news count as told, a call that hangs takes 2.5 s, the pause half as much
+/// again, an answer 1.4 s.
 const ASK_AGAIN: Span = Span(200_000);
 const ASK_APART: Span = Span(40_000);
 const ASK_LONGEST: Span = Span(1_400_000);
@@ -953,7 +953,7 @@
 
     // ---- the list and the clock ---------------------------------------------------------------------
 
-    /// The mean pause before the list is asked for; balancers that start together spread over nearly thrice that.
+    /// The mean pause before the list is asked for; those that start together spread over nearly thrice that.
     fn pause_to_ask(&self, least: Span) -> Span {
         let apart = ASK_APART * f64::from(self.settings.balancers.saturating_sub(1));
         least.max(apart).min(self.settings.ask_within * 0.25).min(ASK_LONGEST)
@@ -963,8 +963,7 @@
         let (lines, complete) = match update {
             ListUpdate::Failed => {
                 let pause = self.pause_to_ask(self.ask_pause);
-                self.ask_at = Some(now + pause * (0.5 + self.rng.f64()));
-                self.ask_pause = pause * 2.0;
+                (self.ask_at, self.ask_pause) = (Some(now + pause * (0.5 + self.rng.f64())), pause * 2.0);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
