--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,9 +103,9 @@
 const SHARE_SLACK: f64 = 1.4;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds to it; the
-/// longest: of the 6 s after which news count as told, a call that hangs takes 2.5 s, the pause half as much
-/// again, an answer 1.4 s.
+/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds to it;
+/// and the longest: of the 6 s after which news count as told, a call that hangs takes 2.5 s, the pause half
+/// as much again, an answer 1.4 s.
 const ASK_AGAIN: Span = Span(200_000);
 const ASK_APART: Span = Span(40_000);
 const ASK_LONGEST: Span = Span(1_400_000);
