Clients that rest leave descriptors also where the process has fewer than it was told

Need: idle clients may fill the descriptors while discovery is down. Seen: told of 1,024 descriptors with 96 allowed, a crowd that asks once and rests holds 96 of 96; the shares of clients and servers are reckoned from limits.sockets alone (config.rs), so that calls for the list and to servers live on what accepts that fail make room for. Ruled out: with limits that are true 36 of 96 were held, and list, server and operators had theirs (guard).

Change: the fewer of the two count, and a line says so; nothing is refused at the start for it. The limit is read by the crate rlimit.

Measured: of the two tests in limits.rs that of the lower limit fails without the change (96 of 96 held), both pass with it.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -3,6 +3,7 @@
 use crate::fault::Fault;
 use crate::inherit;
 use crate::list::ListReply;
+use crate::log::log;
 use crate::peers::{PeerWords, PeersConfig};
 use crate::switches::{read_bounded, Switches};
 use ryelead_settings::SettingsFile;
@@ -155,6 +156,8 @@
             return Err(Fault::of_key("limits.sockets", reason));
         }
         let usable = sockets - RESERVE;
+        let sockets = held_by_process(sockets);
+        let shared = sockets - RESERVE;
         let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
         let memory = memory - OWN_BYTES;
         let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
@@ -171,13 +174,14 @@
         let peers =
             switches.fleet.map(|fleet| PeersConfig::new(words, &fleet, switches.trial)).transpose()?;
         let own = switches.limits.unwrap_or_default();
-        let client_connections = own.client_connections.unwrap_or(clients.min(usable / 2));
-        let backend_connections = own.server_connections.unwrap_or(usable - usable / 2);
+        let client_connections = own.client_connections.unwrap_or(clients.min(shared / 2));
+        let backend_connections = own.server_connections.unwrap_or(shared - shared / 2);
         if client_connections + backend_connections > usable {
             let reason = format!(
-                "client and server connections come to {}, and of the {sockets} descriptors of the configuration's \
+                "client and server connections come to {}, and of the {} descriptors of the configuration's \
                  limits.sockets no more than {usable} are for them",
-                client_connections + backend_connections
+                client_connections + backend_connections,
+                usable + RESERVE
             );
             return Err(Fault::of_key("limits", reason));
         }
@@ -214,6 +218,16 @@
     }
 }
 
+/// Of the descriptors that the configuration allows, those that this process may hold: where they are fewer, clients that
+/// rest would leave none for the list and for servers.
+fn held_by_process(told: usize) -> usize {
+    let may = rlimit::Resource::NOFILE.get().map_or(usize::MAX, |(soft, _)| soft as usize);
+    if may < told {
+        log(&format!("the process may hold {may} descriptors, limits.sockets says {told}: the fewer count"));
+    }
+    told.min(may).max(SOCKETS_LEAST)
+}
+
 fn var(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|value| !value.is_empty())
 }
--- a/agent/tests/loopback/limits.rs
+++ b/agent/tests/loopback/limits.rs
@@ -136,3 +136,43 @@
     assert!(crowd[0].read().is_none(), "the one that has rested longest is closed");
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
 }
+
+/// Clients connect, ask once whether the agent is ready, and rest: as many as get in, while discovery is down and nobody is
+/// known to send to. When it is back the agent hears of it, sends, and answers operators and newcomers.
+fn idle_clients_fill_it(sockets: usize, descriptors: usize) {
+    let backend = Backend::new(|_| ok("x"));
+    let list = Discovery::new(serving("s", backend.address));
+    list.set_down(true);
+    let text = config(list.address, "", SETTINGS, sockets);
+    let text = text.replacen('{', r#"{"admin":"127.0.0.1:0","#, 1);
+    let agent = Agent::start_limited(&text, descriptors);
+    list.asked.wait(1);
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut crowd: Vec<Client> = Vec::new();
+    for _ in 0..3 * descriptors {
+        let mut client = Client::to(&agent);
+        assert_eq!(client.ask(ready).status(), 503);
+        crowd.push(client);
+    }
+    let asked = list.asked.all().len();
+    let held = std::fs::read_dir(format!("/proc/{}/fd", agent.child.id())).unwrap().count();
+    // Both ways to servers, to operators and to the list at once need theirs.
+    assert!(held + 32 <= descriptors, "{held} of {descriptors} are held by a crowd that rests");
+    list.asked.wait(asked + 2);
+    list.set_down(false);
+    while Client::to(&agent).ask(ready).status() != 200 {}
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+    let mut operator = Client::at(agent.admin.expect("their address"));
+    assert_eq!(operator.ask("GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+}
+
+#[test]
+fn idle_clients_leave_descriptors_for_the_list_a_server_and_operators() {
+    idle_clients_fill_it(96, 96);
+}
+
+/// Where the process may hold less than its configuration says, that counts.
+#[test]
+fn idle_clients_leave_descriptors_where_the_process_has_fewer_than_it_was_told() {
+    idle_clients_fill_it(1024, 96);
+}
