A stop that crosses a request, half of one or a new connection answers it

Seen, with the process stopped between the two (loopback, SIGSTOP, then both have come when it goes on): a request on a resting connection at the end of the 0.5 s in which a stop lets those rest was lost, and so was half of one whose other half came after the close, and a connection that waited in the queue of the listening socket. At fault: exits in lifecycle.rs hears of what is owed from seats.rs, which counted what hyper has read alone; converse in server.rs looked at unread bytes, not at a head that has been read in part, and hyper closes such a connection as an idle one; serve in agent.rs dropped its listener with a full queue. Ruled out: two signals at once, SIGHUP beside SIGTERM (guard).

Only a process that stops asks what is owed.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -24,10 +24,12 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How often it is looked whether a stop is over.
 const END_EVERY: Duration = Duration::from_millis(5);
+/// How long a process that stops accepts what has come to its listening socket by then.
+const QUEUE_WAIT: Duration = Duration::from_millis(10);
 
 fn length(span: Span) -> Duration {
     Duration::from_micros(span.0)
@@ -55,8 +57,10 @@
     admin: Option<SocketAddr>,
     clients: Rc<Clients>,
     commands: Rc<Commands>,
-    /// The other agents, and whether another process of this one goes on with the address.
-    peers: Option<(Rc<Peers>, bool)>,
+    /// The platform holds the listening socket: another process goes on with the address.
+    inherited: bool,
+    /// The other agents.
+    peers: Option<Rc<Peers>>,
     _tasks: Vec<Task>,
 }
 
@@ -126,19 +130,15 @@
             log_events(config.json());
             let (started, run) = Peers::start(config, driver, inherited).await?;
             tasks.push(task(run));
-            peers = Some((started, inherited));
+            peers = Some(started);
         }
         let mut admin = None;
         if let Some(at) = config.admin {
             let door = listen(at).await.map_err(|e| format!("admin: {e}"))?;
             admin = door.local_addr().ok();
-            tasks.push(task(admin::run(
-                door,
-                Rc::clone(&clients),
-                peers.as_ref().map(|(peers, _)| Rc::clone(peers)),
-            )));
+            tasks.push(task(admin::run(door, Rc::clone(&clients), peers.as_ref().map(Rc::clone))));
         }
-        Ok(Agent { server, listener, address, admin, clients, commands, peers, _tasks: tasks })
+        Ok(Agent { server, listener, address, admin, clients, commands, inherited, peers, _tasks: tasks })
     }
 
     /// Where clients connect.
@@ -164,7 +164,7 @@
     /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed (1.4 s where
     /// the platform holds the socket), and 0.6 s over the longest deadline of a class at the latest.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
-        let Agent { server, listener, clients, peers, _tasks, .. } = self;
+        let Agent { server, listener, clients, inherited, peers, _tasks, .. } = self;
         let mut listener = Some(listener);
         let mut stop = pin!(stop);
         let mut stopped = false;
@@ -183,18 +183,21 @@
                 () = clients.changed() => {}
                 () = stop.as_mut(), if !stopped => {
                     clients.stop();
-                    if let Some((peers, handed_over)) = &peers {
-                        peers.stop(*handed_over);
+                    if let Some(peers) = &peers {
+                        peers.stop(inherited);
                     }
                     stopped = true;
                 }
                 () = sleep(END_EVERY), if listener.is_none() => {}
             }
             if stopped && !clients.accepts() {
-                listener = None;
+                if let Some(listener) = listener.take().filter(|_| !inherited) {
+                    // Whoever waits in its queue has been accepted as far as it can tell, and would be reset.
+                    let _ = timeout(QUEUE_WAIT, server.accept(&listener)).await;
+                }
             }
             server.settle();
-            if clients.exits(server.connections(), server.owed()) {
+            if stopped && clients.exits(server.connections(), server.owed()) {
                 return;
             }
         }
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -81,6 +81,16 @@
         matches!(self.phase.get(), Phase::Taking | Phase::Busy)
     }
 
+    /// A request has begun to come, read or not, and is not whole: its client may write the rest before it sees a close.
+    pub fn has_begun(&self) -> bool {
+        let heard = self.view.received() > self.mark.get();
+        match self.phase.get() {
+            Phase::Waiting => heard || self.view.has_unread(),
+            Phase::Reading | Phase::Taking => true,
+            Phase::Busy | Phase::Leaving => false,
+        }
+    }
+
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
@@ -258,9 +268,8 @@
         }
     }
 
-    /// How many owe an answer, or have begun to read a request and so may owe one soon.
+    /// How many owe an answer, or may owe one soon since a request has begun to come.
     pub fn owed(&self) -> usize {
-        let owes = |seat: &&Rc<Seat>| seat.is_busy() || seat.phase.get() == Phase::Reading;
-        self.seats.borrow().values().filter(owes).count()
+        self.seats.borrow().values().filter(|seat| seat.is_busy() || seat.has_begun()).count()
     }
 }
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -150,8 +150,9 @@
             end = seat.ended() => if end == End::AtOnce { return },
         }
         let gently = async {
-            // A request that has come but was not read yet must not be cut off by the close.
-            while !seat.is_busy() && seat.view().has_unread() {
+            // A request that has come but was not read yet, or half of one, must not be cut off by the close; how long its head
+            // may take the sweep says.
+            while !seat.is_busy() && seat.has_begun() {
                 if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
                     return;
                 }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod clients;
+mod crossings;
 mod drains;
 mod fleet;
 mod leaving;
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -181,6 +181,67 @@
     }
 }
 
+/// A server whose connections a test holds in its hands.
+pub struct RawBackend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Default for RawBackend {
+    fn default() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        RawBackend { address: listener.local_addr().expect("an address"), listener }
+    }
+}
+
+impl RawBackend {
+    /// The next connection.
+    pub fn accept(&self) -> RawConnection {
+        RawConnection::new(self.listener.accept().expect("a connection").0)
+    }
+}
+
+/// One connection of an agent's to a server.
+pub struct RawConnection {
+    /// Its socket.
+    pub stream: TcpStream,
+}
+
+impl RawConnection {
+    /// Takes it over.
+    pub fn new(stream: TcpStream) -> RawConnection {
+        stream.set_read_timeout(Some(BOUND)).expect("a socket");
+        RawConnection { stream }
+    }
+
+    /// Reads one request, with its body if it states how long that is; `None` if the connection ends.
+    pub fn read(&mut self) -> Option<Message> {
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") {
+            if self.stream.read(&mut byte).ok()? == 0 {
+                return None;
+            }
+            head.push(byte[0]);
+        }
+        let mut message = Message::of_text(&String::from_utf8_lossy(&head));
+        let length = message.header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+        message.body = vec![0; length];
+        self.stream.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    /// Writes bytes.
+    pub fn write(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("an agent that reads");
+    }
+
+    /// Ends it by a reset.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
+}
+
 /// A list that tests change in the protocol's own words, and what was asked of it.
 pub struct Discovery {
     /// Where it listens.
@@ -388,6 +449,28 @@
         self.signal("-HUP");
     }
 
+    /// SIGSTOP: what comes from here on has all come in one moment for it, when it goes on.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let state = format!("/proc/{}/stat", self.child.id());
+        let start = Instant::now();
+        // The signal is sent; that it has been obeyed is seen.
+        while !std::fs::read_to_string(&state).is_ok_and(|text| text.contains(") T ")) {
+            assert!(start.elapsed() < BOUND, "the agent does not stop");
+            thread::yield_now();
+        }
+    }
+
+    /// SIGCONT.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// SIGHUP without a change.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
