A repeat does not begin when its key may be forgotten, however late its connection comes

Seen (loopback): a request whose key is known for 500 ms breaks, is repeated within that, the connection to the next server comes up a second later, and the repeat is sent: it would run twice. At fault: lawful in decide.rs holds a repeat to the window when it is decided on, and what is asked before the first byte (may_send in driver.rs) knew nothing of it. Ruled out: repeats decided on after the window (refused before and now).

Change: the module says with each send by when it may begin, out of the same law; the first byte is held to it. Long requests are sent once and have no such instant. The module makes room for it: the one remembered server is an Option in place of a list of one.

Measured: a_repeat_whose_connection_outlasts_its_key_is_not_sent fails without the check of the first byte, passes with it; the observer of the module's tests holds every send to window and deadline over its random walks.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -209,9 +209,9 @@
     fn perform(&self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, server, timeout_at } => {
+                Action::Send { request, server, begin_by, timeout_at } => {
                     self.tally().count(Count::Send);
-                    self.send(request, server, timeout_at);
+                    self.send(request, server, begin_by, timeout_at);
                 }
                 Action::Cancel { request, attempt } => {
                     self.0.core.borrow_mut().requests.call_off(request, attempt.0);
@@ -240,21 +240,22 @@
         self.0.core.borrow_mut().requests.answer(id, answer);
     }
 
-    fn send(&self, id: RequestId, server: ServerId, timeout_at: Time) {
+    fn send(&self, id: RequestId, server: ServerId, begin_by: Time, timeout_at: Time) {
         let now = Instant::now();
         let core = &mut *self.0.core.borrow_mut();
         let Some(departure) = core.requests.depart(id, self.0.max_attempts) else { return };
         let Departure { attempt, call, deadline, lawful, cancelled } = departure;
         // Nothing is sent beyond the time that the request has, either.
         let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
-        // The time of a long request begins with its last byte.
+        // A long request is sent once only, and its time begins with its last byte.
+        let begin_by = call.upload.is_none().then(|| self.0.clock.instant(begin_by));
         let in_time = call.upload.is_some() || until > now;
         let place = if lawful && in_time { core.servers.enter(server) } else { None };
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let owner = Sending { driver: &driver, id, attempt, place };
+                    let owner = Sending { driver: &driver, id, attempt, place, begin_by };
                     let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
                     driver.leave(server);
                     ended
@@ -289,10 +290,13 @@
     }
 
     /// A send counts from its first byte, which a wait for a connection may put off: its server may have been told to drain
-    /// since, and its client may have gone or have its answer.
-    fn may_send(&self, id: RequestId, place: Place) -> bool {
+    /// since, its client may have gone or have its answer, and the time of its key may be over.
+    fn may_send(&self, sending: &Sending<'_>) -> bool {
         let core = self.0.core.borrow();
-        core.servers.is_current(place.server, place.life) && core.requests.is_owed(id)
+        let in_time = sending.begin_by.is_none_or(|by| Instant::now() < by);
+        in_time
+            && core.servers.is_current(sending.place.server, sending.place.life)
+            && core.requests.is_owed(sending.id)
     }
 
     /// An attempt or a probe is no longer out.
@@ -359,11 +363,12 @@
     id: RequestId,
     attempt: u32,
     place: Place,
+    begin_by: Option<Instant>,
 }
 
 impl Owner for Sending<'_> {
     fn may_send(&self) -> bool {
-        self.driver.may_send(self.id, self.place)
+        self.driver.may_send(self)
     }
 
     fn bind(&self) {
--- a/agent/tests/loopback/crossings.rs
+++ b/agent/tests/loopback/crossings.rs
@@ -27,6 +27,14 @@
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+/// Nobody accepts any more once the process has come round to what a stop closes. Asked now and then: a storm of newcomers
+/// would crowd out whoever has sent half a request.
+fn accepts_no_more(agent: &Agent) {
+    while std::net::TcpStream::connect(agent.address).is_ok() {
+        sleep(Duration::from_millis(10));
+    }
+}
+
 /// The request has come on a resting connection when the process finds that it is time to close that.
 #[test]
 fn a_request_that_crosses_the_close_of_a_stop_is_answered() {
@@ -57,8 +65,7 @@
         client.write(half);
         sleep(PAST_THE_REST);
         agent.thaw();
-        // Nobody accepts any more once the process has come round to what a stop closes.
-        while std::net::TcpStream::connect(agent.address).is_ok() {}
+        accepts_no_more(&agent);
         client.write(rest);
         connection.read().unwrap_or_else(|| panic!("cut at {cut}: it is sent on"));
         connection.write(OK);
@@ -98,7 +105,7 @@
         client.write(half);
         agent.catch_up();
         agent.terminate();
-        while std::net::TcpStream::connect(agent.address).is_ok() {}
+        accepts_no_more(&agent);
         client.write(rest);
         connection.read().unwrap_or_else(|| panic!("cut at {cut}: it is sent on"));
         connection.write(OK);
@@ -248,11 +255,43 @@
     let agent = Agent::start(&config(list.address, &line, &settings, 1024));
     list.asked.wait(2);
     let mut client = Client::to(&agent);
-    client.write(&request("once", 9000));
-    agent.catch_up();
+    let text = request("once", 9000);
+    client.write(&text);
+    agent.has_taken(&text);
     list.change([target("late", late.address, "DRAINING", 0), serving("other", other.address)].join(","));
     list.asked.wait(3);
     let mut connection = RawConnection::new(late.come_up());
     assert_eq!(client.read().map(|m| m.body), Some("other".into()));
     assert!(connection.read().is_none(), "its connection is closed unused");
 }
+
+/// A repeat is decided on while its key is known, and its connection comes up when that is over: it would run twice.
+#[test]
+fn a_repeat_whose_connection_outlasts_its_key_is_not_sent() {
+    let (first, mut late) = (RawBackend::default(), LateBackend::default());
+    let lines = [serving("first", first.address), serving("late", late.address)].join(",");
+    let list = Discovery::new(serving("first", first.address));
+    let settings = SETTINGS.replace(r#""connectTimeoutMs":2000"#, r#""connectTimeoutMs":20000"#);
+    let settings = settings.replace(r#""dedupWindowMs":60000"#, r#""dedupWindowMs":500"#);
+    let agent = Agent::start(&config(list.address, &serving("first", first.address), &settings, 1024));
+    list.asked.wait(2);
+    let mut client = Client::to(&agent);
+    client.write(&request("all", 9000));
+    let mut connection = first.accept();
+    connection.read().expect("the first attempt");
+    // The other server is listed now, and the first one breaks: the repeat goes there.
+    list.change(lines);
+    list.asked.wait(3);
+    connection.reset();
+    // It has been seen, and the repeat is on its way.
+    agent.catch_up();
+    let mut connection = RawConnection::new(late.come_up());
+    assert_eq!(client.read().map(|m| m.status()), Some(503), "it would be harmless to repeat in its time");
+    list.change(serving("late", late.address));
+    list.asked.wait(4);
+    let mut other = Client::to(&agent);
+    other.write(&request("read", 9000));
+    // The next that is heard on it is another request.
+    let line = connection.read().expect("a request").line;
+    assert!(line.starts_with("GET"), "{line}");
+}
--- a/lab/src/emulate/agent.rs
+++ b/lab/src/emulate/agent.rs
@@ -242,7 +242,7 @@
     fn perform(&mut self, agent: AgentIndex, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send { request, server, timeout_at } => {
+                Action::Send { request, server, timeout_at, .. } => {
                     self.send(agent, request, server.0 as usize, timeout_at);
                 }
                 Action::Cancel { request, attempt } => {
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -476,6 +476,24 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
     }
 
+    /// Waits until the agent has taken a request and decided about it: its name is in use. Whoever asks has no time left, and so
+    /// is refused unseen by any server where it is not.
+    pub fn has_taken(&self, taken: &str) {
+        let id = |text: &str| {
+            let id = text.split("X-Call-Id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
+            id.expect("a request with a name").to_string()
+        };
+        let start = Instant::now();
+        loop {
+            let ask = request("read", 0);
+            let ask = ask.replace(&id(&ask), &id(taken));
+            if Client::to(self).ask(&ask).status() == 409 {
+                return;
+            }
+            assert!(start.elapsed() < BOUND, "the agent does not take it");
+        }
+    }
+
     /// One whole exchange on a connection of its own: what other connections had for the agent before has been read then.
     pub fn catch_up(&self) {
         let ask = "GET /health/ready HTTP/1.1\r\nHost: agent\r\n\r\n";
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -243,7 +243,7 @@
         let backend = |server: ServerId, names: &[Rc<str>]| names[server.0 as usize].to_string();
         let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let backend = backend(server, &self.server_names);
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.out += 1;
--- a/src/api.rs
+++ b/src/api.rs
@@ -678,6 +678,8 @@
         request: RequestId,
         /// Where to.
         server: ServerId,
+        /// No byte of it may be written from then on, however long its connection takes: a repeat would run twice.
+        begin_by: Time,
         /// When the attempt times out.
         timeout_at: Time,
     },
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,8 +12,7 @@
 use crate::told::{lean, Hearsay, Told, Word};
 use std::collections::BTreeMap;
 
-/// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
-const REMEMBERED: usize = 1;
+/// Fresh draws of each pick, beside the one server that is remembered; the paper asks for one at the least.
 const DRAWS: usize = 3;
 /// Fresh draws come from a circle of as many servers as own requests reach in this many seconds, or of the
 /// least: of more, one balancer of many knows too little, and together they hold too many connections.
@@ -260,7 +259,7 @@
     /// Newest first within each rank.
     held: Vec<RequestId>,
     looking: Vec<Look>,
-    memory: Vec<usize>,
+    memory: Option<usize>,
     /// Those that fresh draws come from.
     circle: Vec<usize>,
     /// The server that each key was last sent to, where servers do known keys for less.
@@ -296,7 +295,7 @@
             flights: BTreeMap::new(),
             held: Vec::new(),
             looking: Vec::new(),
-            memory: Vec::new(),
+            memory: None,
             circle: Vec::new(),
             warm: BTreeMap::new(),
             class_pace: vec![0.2; settings.classes.len()],
@@ -411,18 +410,21 @@
         }
     }
 
-    /// Where it may go, and whether a refusal would be true; all of "no effect happens twice" is here.
-    fn lawful(&self, live: &Live, now: Time) -> (Reach, bool) {
+    /// Where it may go, until when, and if a refusal would be true; all of "no effect happens twice" is here.
+    fn lawful(&self, live: &Live, now: Time) -> (Reach, Time, bool) {
         let class = &self.settings.classes[live.request.class.0];
         let out = live.attempts.iter().any(|a| a.ended.is_none());
         let first = live.attempts.iter().find(|a| !a.ended.is_some_and(Outcome::never_ran));
         let full = live.attempts.len() >= self.settings.max_attempts as usize;
-        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let begin_by = match (first, class.effect) {
+            (Some(first), Effect::Deduplicated { window, .. }) => live.deadline.min(first.sent + window),
+            _ => live.deadline,
+        };
+        let shut = full || live.bound || now >= begin_by || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
             (Some(_), Effect::AtMostOnce) => Reach::Nowhere,
-            (Some(first), Effect::Deduplicated { window, .. }) if now > first.sent + window => Reach::Nowhere,
             (Some(first), Effect::Deduplicated { group, .. }) => match group {
                 Group::All => Reach::Anywhere,
                 Group::Zone => Reach::Zone(first.zone),
@@ -434,7 +436,7 @@
             (Some(_), Effect::AtMostOnce) => false,
             (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
         };
-        (send, refuse && !live.bound)
+        (send, begin_by, refuse && !live.bound)
     }
 
     // ---- the pick -----------------------------------------------------------------------------------
@@ -640,9 +642,7 @@
             }
             self.warm.insert(key, server);
         }
-        self.memory.retain(|&m| m != server);
-        self.memory.insert(0, server);
-        self.memory.truncate(REMEMBERED);
+        self.memory = Some(server);
         let suspect = self.servers[server].records[WHOLE].suspicion.is_some();
         if !suspect && !self.circle.is_empty() && !self.circle.contains(&server) {
             let place = self.rng.usize(0..self.circle.len());
@@ -669,6 +669,7 @@
     }
 
     fn send(&mut self, now: Time, id: RequestId, class: usize, server: usize, out: &mut Vec<Action>) {
+        let begin_by = self.lawful(&self.live[&id], now).1;
         let Some(live) = self.live.get_mut(&id) else { return };
         // No earlier: what is called off goes on at its server, and no count would show it.
         let timeout_at = live.deadline;
@@ -685,7 +686,7 @@
             self.trials -= 1.0;
         }
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, stuck: false, stage });
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
+        out.push(Action::Send { request: id, server: s.listed.server, begin_by, timeout_at });
     }
 
     // ---- cold servers -------------------------------------------------------------------------------
@@ -806,7 +807,7 @@
     /// The final answer from here: a refusal if that is true to the client, else a failure.
     fn end(&mut self, now: Time, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
-        if self.lawful(&live, now).1 {
+        if self.lawful(&live, now).2 {
             let usual = Span::from_ms(self.usual(live.request.class.0));
             let advice = if reason == Reason::NobodyOpen { usual.max(TRIAL_FIRST) } else { usual };
             let retry_after = self.settings.retry_after.then_some(advice.min(self.settings.max_retry_after));
@@ -934,11 +935,10 @@
         if s.records[r].suspicion.is_some() || (gone + 1) as f64 > SUSPECT_SHARE * self.serving.len() as f64 {
             return;
         }
-        let suspicion = Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST };
-        s.records[r].suspicion = Some(suspicion);
+        s.records[r].suspicion = Some(Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST });
         out.push(Action::Log { text: format!("server {} {why}: suspect", s.listed.server.0) });
         if r == WHOLE {
-            self.memory.retain(|&m| m != server);
+            self.memory = self.memory.filter(|&m| m != server);
             self.close_circle(now);
         }
     }
@@ -1003,7 +1003,7 @@
         }
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
-        self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.memory = self.memory.filter(|&m| servers[m].listed.status == Status::Serving);
         self.close_circle(now);
         self.pump(now, out);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -151,7 +151,7 @@
 
     pub fn action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, begin_by, timeout_at } => {
                 let Some(line) = self.servers.get(server).cloned() else {
                     return self.fault(now, format!("sent to {server:?}, which no list names"));
                 };
@@ -176,6 +176,15 @@
                 if now > seen.deadline || *timeout_at > seen.deadline {
                     wrong.push("sent past its deadline");
                 }
+                let may_have_run = |t: &&Try| !t.ended.is_some_and(Outcome::never_ran);
+                let first = seen.tries.iter().find(may_have_run).map(|t| t.at);
+                match (first, self.settings.classes[seen.class].effect) {
+                    (Some(first), Effect::Deduplicated { window, .. }) if *begin_by > first + window => {
+                        wrong.push("may begin when its key is forgotten")
+                    }
+                    _ if *begin_by > seen.deadline => wrong.push("may begin past its deadline"),
+                    _ => {}
+                }
                 match self.place_for(seen, now) {
                     None => wrong.push("may have run and must not go out again"),
                     Some((zone, cell)) => {
--- a/tests/observer_sees_breaches.rs
+++ b/tests/observer_sees_breaches.rs
@@ -18,7 +18,10 @@
 }
 
 fn send(server: u32, now: Time) -> Action {
-    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at: now + Span::from_ms(1.0) }
+    {
+        let timeout_at = now + Span::from_ms(1.0);
+        Action::Send { request: RequestId(1), server: ServerId(server), begin_by: timeout_at, timeout_at }
+    }
 }
 
 fn ended(outcome: Outcome, attempt: u32) -> Event {
@@ -84,7 +87,10 @@
     let later = now + Span::from_ms(1100.0);
     o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
     let timeout_at = later + Span::from_ms(1.0);
-    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at });
+    o.action(
+        later,
+        &Action::Send { request: RequestId(2), server: ServerId(0), begin_by: timeout_at, timeout_at },
+    );
     objects(&o, "draining or gone");
 
     let (mut o, now) = watch(Effect::Idempotent);
@@ -93,7 +99,10 @@
     let later = now + settings_window();
     for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
         o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
-        o.action(now, &Action::Send { request: RequestId(id), server: ServerId(0), timeout_at: now });
+        o.action(
+            now,
+            &Action::Send { request: RequestId(id), server: ServerId(0), begin_by: now, timeout_at: now },
+        );
     }
     objects(&o, "cold");
 }
