Lines of a list that can't be read send nobody away

Seen (loopback): a whole list of which no line can be read, as JSON sound, took every server out, since what a whole list leaves out has left; one line that can't be read took out the server that it names. At fault: readable in list.rs, which dropped such lines without a trace. Ruled out: text that is no JSON, which changed nothing before.

Change: whoever such a line names stays as it was last known; a list with lines of which none can be read is a garbled answer and is asked for again as one, at once and then paced. They are counted (list-unread) and said once. A server that no line names at all has left, as before.

Measured: lines_that_cannot_be_read_send_nobody_away fails without either half, passes with both.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -330,7 +330,8 @@
 
     /// A source has told something.
     pub fn listed(&self, reply: ListReply) {
-        self.tally().add(Count::ListLine, reply.targets.len());
+        self.tally().add(Count::ListLine, reply.targets.read.len());
+        self.tally().add(Count::ListUnread, reply.targets.odd());
         let lines = self.0.core.borrow_mut().servers.take_list(reply.all, &reply.targets, self.pool());
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
--- a/agent/src/list.rs
+++ b/agent/src/list.rs
@@ -15,29 +15,60 @@
     #[serde(default)]
     pub all: bool,
     /// Its lines.
-    #[serde(deserialize_with = "readable")]
-    pub targets: Vec<Target>,
+    pub targets: Lines,
 }
 
-/// The lines that can be read: one that can't must not make the agent deaf to all others.
-fn readable<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<Target>, D::Error> {
-    #[derive(Deserialize)]
-    #[serde(untagged)]
-    enum Line {
-        Read(Target),
-        Other(IgnoredAny),
+/// The lines that can be read, and what is known of the others: one that can't be read must not make the agent deaf to all
+/// others, nor send away the server that it names.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Lines {
+    /// Those that can be read.
+    pub read: Vec<Target>,
+    /// The servers that others name; what is known of them stands.
+    pub unread: Vec<String>,
+    /// How many others name nobody.
+    pub nameless: usize,
+}
+
+impl<'de> Deserialize<'de> for Lines {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Lines, D::Error> {
+        #[derive(Deserialize)]
+        struct Named {
+            uid: String,
+        }
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum Line {
+            Read(Target),
+            Named(Named),
+            Other(IgnoredAny),
+        }
+        let mut lines = Lines::default();
+        for line in Vec::<Line>::deserialize(input)? {
+            match line {
+                Line::Read(target) => lines.read.push(target),
+                Line::Named(named) => lines.unread.push(named.uid),
+                Line::Other(_) => lines.nameless += 1,
+            }
+        }
+        Ok(lines)
+    }
+}
+
+impl Lines {
+    /// How many can't be read.
+    pub fn odd(&self) -> usize {
+        self.unread.len() + self.nameless
+    }
+
+    /// There are lines, and none can be read: taken as a whole list, it would send everybody away.
+    pub fn are_garbled(&self) -> bool {
+        self.read.is_empty() && self.odd() > 0
     }
-    let lines = Vec::<Line>::deserialize(input)?.into_iter();
-    Ok(lines
-        .filter_map(|line| match line {
-            Line::Read(target) => Some(target),
-            Line::Other(_) => None,
-        })
-        .collect())
 }
 
 /// A line of the list.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Target {
     /// The server's name at all agents.
     pub uid: String,
--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -1,6 +1,6 @@
 //! The servers by their numbers: where each is, which of its lives this is, and since when nothing new may go there.
 
-use crate::list::{State, Target};
+use crate::list::{Lines, State, Target};
 use crate::upstream::pool::{Place, Pool};
 use ryelead::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
 use std::collections::{HashMap, HashSet};
@@ -14,6 +14,8 @@
 
 struct Server {
     place: Place,
+    /// Its line as it was last read.
+    listed: Listed,
     serving: bool,
     /// It has left, and is not only draining.
     gone: bool,
@@ -92,8 +94,12 @@
     }
 
     /// Takes over addresses and states; returns the lines in the module's terms.
-    pub fn take_list(&mut self, all: bool, targets: &[Target], pool: &Pool) -> Vec<Listed> {
-        let lines: Vec<Listed> = targets.iter().map(|target| self.take_target(target, pool)).collect();
+    pub fn take_list(&mut self, all: bool, lines: &Lines, pool: &Pool) -> Vec<Listed> {
+        let unread =
+            lines.unread.iter().filter_map(|uid| Some(self.servers.get(self.ids.get(uid)?)?.listed.clone()));
+        let unread: Vec<Listed> = unread.collect();
+        let read = lines.read.iter().map(|target| self.take_target(target, pool));
+        let lines: Vec<Listed> = unread.into_iter().chain(read).collect();
         if all {
             let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
             for (id, server) in &mut self.servers {
@@ -126,7 +132,8 @@
         self.next_server += u32::from(id == next);
         let server = self.servers.entry(id).or_insert_with(|| {
             let place = Place { server: id, address: target.endpoint, life: 0 };
-            Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
+            let listed = Listed::serving(id);
+            Server { place, listed, serving: false, gone: false, off_since: None, started, out: 0 }
         });
         if server.place.address != target.endpoint || server.started != started {
             // Another process: connections to the one before lead nowhere.
@@ -139,7 +146,7 @@
             State::Serving => (server.serving, server.off_since) = (true, None),
             State::Draining | State::Deleted => server.turn_off(pool),
         }
-        Listed {
+        server.listed = Listed {
             server: id,
             zone: ZoneId(self.zones.of(&target.az)),
             kind: KindId(self.kinds.of(&target.model)),
@@ -151,7 +158,8 @@
             },
             weight: target.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
             started,
-        }
+        };
+        server.listed.clone()
     }
 }
 
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -95,7 +95,10 @@
             return Err(Fault::Failed);
         }
         let body = timeout(BODY_WAIT, whole(answer.into_body())).await.map_err(|_| Fault::Garbled)??;
-        let list = serde_json::from_slice(&body).map_err(|_| Fault::Garbled)?;
+        let list: ListReply = serde_json::from_slice(&body).map_err(|_| Fault::Garbled)?;
+        if list.targets.are_garbled() {
+            return Err(Fault::Garbled);
+        }
         let ready = timeout(SETTLE_WAIT, line.sender.ready()).await.is_ok_and(|ready| ready.is_ok());
         Ok((list, ready.then_some(line)))
     }
@@ -132,8 +135,14 @@
     loop {
         let address = *source.borrow_and_update();
         let freshness = RefCell::new(Freshness::new(terms, version, seed));
-        let asking =
-            Asking { driver: &driver, commands: &commands, address, freshness, doubted: Cell::new(false) };
+        let asking = Asking {
+            driver: &driver,
+            commands: &commands,
+            address,
+            freshness,
+            doubted: Cell::new(false),
+            odd: Cell::new(false),
+        };
         tokio::select! {
             () = asking.follow() => return,
             () = asking.fetch() => return,
@@ -154,6 +163,8 @@
     freshness: RefCell<Freshness>,
     /// It has been said that something is wrong with this source, and nothing has been right since.
     doubted: Cell<bool>,
+    /// It has been said that lines of its lists can't be read, and all could be since.
+    odd: Cell<bool>,
 }
 
 impl<S: Source + std::fmt::Display> Asking<'_, S> {
@@ -271,6 +282,13 @@
                 if self.doubted.replace(false) {
                     log(&format!("the list of {} is heard again", self.address));
                 }
+                let odd = list.targets.odd();
+                if !self.odd.replace(odd > 0) && odd > 0 {
+                    log(&format!(
+                        "{odd} lines of the list of {} can't be read: what is known stands",
+                        self.address
+                    ));
+                }
                 self.driver.listed(list);
             }
             News::Older => {
--- a/agent/src/sources/platform/tests.rs
+++ b/agent/src/sources/platform/tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::budget::Budget;
+use crate::list::Lines;
 use crate::upstream::backend::Backends;
 use crate::upstream::pool::Pool;
 use ryelead::{Settings, Span};
@@ -74,7 +75,7 @@
                 Mode::Up if self.version(self.now()) > from || self.now() >= until => {
                     let rev = self.version(self.now());
                     self.told.borrow_mut().push((self.now(), rev));
-                    return Ok(ListReply { rev, all: false, targets: Vec::new() });
+                    return Ok(ListReply { rev, all: false, targets: Lines::default() });
                 }
                 Mode::Up => tokio::select! {
                     () = self.next_event() => {}
@@ -183,8 +184,8 @@
     }
     let timers = tokio::task::spawn_local(driver.clone().run());
     let freshness = RefCell::new(Freshness::new(terms, Some(1), seed));
-    let (address, doubted) = (Drawn(Rc::clone(&history)), Cell::new(false));
-    let asking = Asking { driver: &driver, commands: &commands, address, freshness, doubted };
+    let (address, doubted, odd) = (Drawn(Rc::clone(&history)), Cell::new(false), Cell::new(false));
+    let asking = Asking { driver: &driver, commands: &commands, address, freshness, doubted, odd };
     assert!(timeout(end, asking.follow()).await.is_err(), "it asks on for ever");
     timers.abort();
     let known = |version| {
--- a/agent/src/tally.rs
+++ b/agent/src/tally.rs
@@ -28,6 +28,8 @@
     ListFailed,
     /// Lines that discovery has sent.
     ListLine,
+    /// Those of them that can't be read.
+    ListUnread,
     /// Attempts by how they ended.
     Outcome(Outcome),
     /// Probes that failed.
@@ -54,6 +56,7 @@
             Count::ListCall => "list-calls",
             Count::ListFailed => "list-failed",
             Count::ListLine => "list-lines",
+            Count::ListUnread => "list-unread",
             Count::Outcome(Outcome::Success) => "success",
             Count::Outcome(Outcome::ServerError) => "server-error",
             Count::Outcome(Outcome::Rejected) => "rejected",
--- a/agent/tests/loopback/crossings.rs
+++ b/agent/tests/loopback/crossings.rs
@@ -255,9 +255,8 @@
     let agent = Agent::start(&config(list.address, &line, &settings, 1024));
     list.asked.wait(2);
     let mut client = Client::to(&agent);
-    let text = request("once", 9000);
-    client.write(&text);
-    agent.has_taken(&text);
+    client.write(&request("once", 9000));
+    late.is_dialled();
     list.change([target("late", late.address, "DRAINING", 0), serving("other", other.address)].join(","));
     list.asked.wait(3);
     let mut connection = RawConnection::new(late.come_up());
@@ -283,8 +282,7 @@
     list.change(lines);
     list.asked.wait(3);
     connection.reset();
-    // It has been seen, and the repeat is on its way.
-    agent.catch_up();
+    late.is_dialled();
     let mut connection = RawConnection::new(late.come_up());
     assert_eq!(client.read().map(|m| m.status()), Some(503), "it would be harmless to repeat in its time");
     list.change(serving("late", late.address));
--- a/agent/tests/loopback/leaving.rs
+++ b/agent/tests/loopback/leaving.rs
@@ -22,7 +22,7 @@
         let agent = Agent::start(&config(discovery.address, &line, &settings, 1024));
         let (mut client, text) = (Client::to(&agent), request(class, 9000));
         client.write(&text);
-        agent.has_taken(&text);
+        late.is_dialled();
         Waiting { agent, _discovery: discovery, late, client, text }
     }
 
@@ -93,7 +93,7 @@
     client.write(&text.replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 9000000\r\n\r\n"));
     // More than the agent keeps for an attempt that has not begun, and no more than the machine takes.
     client.write(&"x".repeat(95_000));
-    agent.has_taken(&text);
+    late.is_dialled();
     client.stream.shutdown(std::net::Shutdown::Both).unwrap();
     agent.catch_up();
     let mut waiting = Waiting { agent, _discovery: discovery, late, client, text };
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -94,6 +94,33 @@
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"new");
 }
 
+/// Lines of a whole list that can't be read: whoever they name stays what it was, and a list of which none can be read
+/// sends nobody away. It is asked for again, on a call of its own.
+#[test]
+fn lines_that_cannot_be_read_send_nobody_away() {
+    let backends = [Backend::new(|_| ok("a")), Backend::new(|_| ok("b"))];
+    let (agent, list) = Agent::with(&[&backends[0], &backends[1]]);
+    list.asked.wait(2);
+    let garbled = |uid: &str| format!(r#"{{"uid":"{uid}","endpoint":"nowhere","state":"SERVING"}}"#);
+    list.change([garbled("s0"), garbled("s1"), "7".into()].join(","));
+    // Asked again for the same, at once; then in its turn.
+    let asked = list.asked.wait(6);
+    assert!(asked[3..6].iter().all(|path| path.contains("from=2&")), "{asked:?}");
+    for _ in 0..10 {
+        assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+    }
+    // One of the two can be read: the other serves on, also when the first drains.
+    list.change([target("s0", backends[0].address, "DRAINING", 0), garbled("s1")].join(","));
+    let asked = list.asked.all().len();
+    let mut paths = list.asked.wait(asked + 1);
+    while !paths.iter().any(|path| path.contains("from=4&")) {
+        paths = list.asked.wait(paths.len() + 1);
+    }
+    for _ in 0..10 {
+        assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"b");
+    }
+}
+
 /// A connection that was at work when its server was told to drain is closed once it is free.
 #[test]
 fn a_connection_that_outlasts_the_drain_is_closed() {
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -168,6 +168,22 @@
 }
 
 impl LateBackend {
+    /// Waits until somebody dials: a connection to it is on its way, as the machine's own table has it.
+    pub fn is_dialled(&self) {
+        // Address and port as the kernel words them, and the state of one that has asked and was not answered.
+        let SocketAddr::V4(at) = self.address else { panic!("{} is not IPv4", self.address) };
+        let wanted = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
+        let start = Instant::now();
+        let on_its_way = |line: &str| {
+            let mut words = line.split_ascii_whitespace().skip(2);
+            words.next() == Some(wanted.as_str()) && words.next() == Some("02")
+        };
+        while !std::fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.lines().any(on_its_way)) {
+            assert!(start.elapsed() < BOUND, "nobody dials");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// What dials comes up from here on, when its machine asks once more. The first connection of an agent's.
     pub fn come_up(&mut self) -> TcpStream {
         let own: Vec<_> = self.fillers.iter().map(|f| f.local_addr().expect("an address")).collect();
@@ -476,24 +492,6 @@
         assert!(Command::new("kill").args([signal, &pid]).status().expect("kill").success());
     }
 
-    /// Waits until the agent has taken a request and decided about it: its name is in use. Whoever asks has no time left, and so
-    /// is refused unseen by any server where it is not.
-    pub fn has_taken(&self, taken: &str) {
-        let id = |text: &str| {
-            let id = text.split("X-Call-Id: ").nth(1).and_then(|rest| rest.split("\r\n").next());
-            id.expect("a request with a name").to_string()
-        };
-        let start = Instant::now();
-        loop {
-            let ask = request("read", 0);
-            let ask = ask.replace(&id(&ask), &id(taken));
-            if Client::to(self).ask(&ask).status() == 409 {
-                return;
-            }
-            assert!(start.elapsed() < BOUND, "the agent does not take it");
-        }
-    }
-
     /// One whole exchange on a connection of its own: what other connections had for the agent before has been read then.
     pub fn catch_up(&self) {
         let ask = "GET /health/ready HTTP/1.1\r\nHost: agent\r\n\r\n";
