Where servers tell nothing, all that is out in all shrinks as answers take longer

By the counts of all agents, second by second: at the burst sends rise from 5,000 to 7,900 a second, then 5,600 of 7,000 attempts a second time out and the fleet does not come back, though 60 of 100 requests are refused. At fault: without reports has_told_room knows no bound, and what is left is the limit of own requests at each server, which is one at the least: one at each of 16 servers, by 300 agents, is 24 at each server, and the servers there get slower from a few. Ruled out: connections (9 to 48 open an agent, a cap of 300 and more a server), discovery, retries of the module (1.0 to 1.3 attempts a try).

Change: where the settings name no reports, one limit over all servers, first what the circle bears; answers that take twice their usual time on the whole cut it, by 0.95 with each, to one at the least; where it is used up and they don't, it grows by 1.02. Deployments with reports go as before.

The test fails without the limit (40 at once in a crowd, 4 with it).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
 //! Every decision of the balancer; its interface (settings, events, actions) is in `src/api.rs`.
 //!
-//! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes
-//! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
-//! `outcome` learns from the answer and decides what follows, `end` gives the answer, `tick` does the rest.
+//! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes,
+//! `lawful` what may still be done, `outcome` learns and decides what follows, `end` answers; `tick`.
 //!
 //! One law holds for few balancers and for many: a server's load is what this one has there and what the
 //! others have by its reports (`src/told.rs`), and a request may go where that leaves its answer in time, the
@@ -33,19 +32,16 @@
 const PROBE_FAILED: f64 = 8.0;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
-/// Failures in a row that make a server suspect (a connection that never came up is as many); and how seldom
-/// as many come by chance from one that fails as often as the others.
+/// Failures in a row that make a server suspect, and how seldom as many come by chance from others.
 const FAILURES: u32 = 2;
 const FAILURES_CHANCE: f64 = 0.002;
 /// Weight of a new answer in a server's share of failures.
 const FAILING_GAIN: f64 = 0.05;
-/// Answers are held to get lost past this. It rises with each attempt that times out, or is called back for
-/// lost, though its server has answered later ones; it falls with others, slowly: time-outs come late.
+/// Answers are held to get lost past this share of attempts that end so though others have overtaken them.
 const LOST: f64 = 0.15;
 const LOST_GAIN: f64 = 0.04;
 const LOST_FADE: f64 = 0.01;
-/// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
-/// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
+/// An attempt is overdue at this multiple of its class's pace, and of its aim: all of it if it is alone.
 const OVERDUE: f64 = 4.0;
 const OVERDUE_LEAST: f64 = 0.7;
 /// At most this share of the serving fleet is suspect; beyond it the trouble is not the servers'.
@@ -57,8 +53,7 @@
 const TRIAL_EARN: f64 = 0.03;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
-/// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
-/// as much as one request more at zero, so that the price alone does not fill a zone.
+/// A server in another zone weighs this much more for each 1% that crossing costs, and less than one request.
 const AWAY: f64 = 0.25;
 const AWAY_MOST: f64 = 1.8;
 /// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
@@ -82,6 +77,11 @@
 const SHRINK: f64 = 0.02;
 /// Own requests in flight that a server is first thought to bear.
 const LIMIT_FIRST: f64 = 2.0;
+/// Where servers tell nothing, answers that take this multiple of their usual time say that many crowd them:
+/// with each, what may be out in all shrinks, and else grows where it is used up.
+const CROWD: f64 = 2.0;
+const ROOM_CUT: f64 = 0.95;
+const ROOM_GROWTH: f64 = 1.02;
 /// Each request earns this much of a further attempt, saved up to the burst. One after a break costs less
 /// than one after a full server or a wait, which load brings about; one that was not sent gave no work.
 const RETRY_EARN: f64 = 0.1;
@@ -102,9 +102,8 @@
 const SHARE_SLACK: f64 = 1.4;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
-/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds to it;
-/// and the longest: of the 6 s after which news count as told, a call that hangs takes 2.5 s, the pause half
-/// as much again, an answer 1.4 s.
+/// Pause before the list is asked for again, doubled on each failure; what each other balancer adds; and the
+/// longest: one and a half of it, 2.5 s of a call that hangs and 1.4 s of the next are the 6 s of news.
 const ASK_AGAIN: Span = Span(200_000);
 const ASK_APART: Span = Span(40_000);
 const ASK_LONGEST: Span = Span(1_400_000);
@@ -160,9 +159,6 @@
     until: Time,
 }
 
-/// An attempt: of which request, and which one of it.
-type Sent = (RequestId, u32);
-
 /// An attempt that has not ended; it outlives its request if that ends first.
 struct Flight {
     server: usize,
@@ -255,7 +251,7 @@
     /// Those that the list says are serving.
     serving: Vec<usize>,
     live: BTreeMap<RequestId, Live>,
-    flights: BTreeMap<Sent, Flight>,
+    flights: BTreeMap<(RequestId, u32), Flight>,
     /// Newest first within each rank.
     held: Vec<RequestId>,
     looking: Vec<Look>,
@@ -276,6 +272,9 @@
     hearsay: Hearsay,
     /// How far answers get lost; see [`LOST`].
     lost: f64,
+    /// How much longer than usual answers take, and what may be out in all for that; see [`CROWD`].
+    crowd: f64,
+    room: f64,
     ask_pause: Span,
     ask_at: Option<Time>,
     tick_at: Time,
@@ -306,6 +305,8 @@
             trials: 1.0,
             hearsay: Hearsay::default(),
             lost: 0.0,
+            crowd: 1.0,
+            room: LIMIT_FIRST * CIRCLE_LEAST as f64,
             ask_pause: ASK_AGAIN,
             ask_at: None,
             tick_at: Time(0),
@@ -377,8 +378,7 @@
         }
     }
 
-    /// Counts a request by its tenant. Of one that takes more than its fraction of this balancer's traffic,
-    /// the excess is over share. No balancer sees the whole; its own traffic is the sample that it has.
+    /// Counts a request by its tenant; what one takes past its fraction of own traffic is over its share.
     fn over_share(&mut self, now: Time, request: &Request) -> bool {
         let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
         self.counted_at = now;
@@ -431,12 +431,9 @@
                 Group::Cell => Reach::Cell(first.cell),
             },
         };
-        let refuse = match (first, class.effect) {
-            (None, _) | (_, Effect::Idempotent) => true,
-            (Some(_), Effect::AtMostOnce) => false,
-            (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
-        };
-        (send, begin_by, refuse && !live.bound)
+        let alike =
+            matches!(class.effect, Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. });
+        (send, begin_by, (first.is_none() || alike) && !live.bound)
     }
 
     // ---- the pick -----------------------------------------------------------------------------------
@@ -480,7 +477,7 @@
             if !self.live.contains_key(&request) {
                 continue;
             }
-            // One whose probe is still out is busy or gone: it steps back if another has answered.
+            // One whose probe is still out steps back if another has answered.
             let heard = candidates.iter().any(|&c| self.servers[c].probed_at.is_none());
             let told = |c: usize| !heard || self.servers[c].probed_at.is_none();
             let ask = self.ask(now, &self.live[&request]);
@@ -512,6 +509,11 @@
         f64::from(s.in_flight) + self.others(now, s)
     }
 
+    /// Own requests that servers work on.
+    fn at_work(&self) -> f64 {
+        self.serving.iter().map(|&i| f64::from(self.servers[i].in_flight)).sum()
+    }
+
     /// Whether one more request at a server would be answered in time, and leave room for what is worth more.
     fn has_told_room(&self, now: Time, server: usize, stretch: f64) -> bool {
         let s = &self.servers[server];
@@ -550,10 +552,10 @@
         self.settle(now, |look| done.contains(&look.request), out);
     }
 
-    /// The remembered servers that are open to a request, and fresh uniform draws from all that are. One that
-    /// it has tried comes in only if there is no other.
+    /// The remembered servers that are open to a request, and fresh draws; one that it has tried comes last.
     fn candidates(&mut self, now: Time, id: RequestId) -> Vec<usize> {
-        let Some(live) = self.live.get_mut(&id) else { return Vec::new() };
+        let room = self.settings.report_source != ReportSource::None || self.at_work() < self.room;
+        let Some(live) = self.live.get_mut(&id).filter(|_| room) else { return Vec::new() };
         live.picks += 1;
         let first = live.picks == 1;
         let tries: Vec<usize> = live.attempts.iter().map(|a| a.server).collect();
@@ -579,7 +581,6 @@
             }
         }
         if candidates.len() < all {
-            // Few are open: draw from a list of them.
             let open = self.serving.iter().copied().filter(|&i| self.open_to(now, &ask, i));
             let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| tries.contains(i));
             let mut pool = if fresh.is_empty() && candidates.is_empty() { again } else { fresh };
@@ -611,8 +612,7 @@
             && self.has_told_room(now, server, ask.stretch)
     }
 
-    /// The candidate with the least load, scaled by a slow machine, a priced crossing, a key unknown there. A
-    /// coin is last.
+    /// The candidate with the least load, scaled by a slow machine, a priced crossing, an unknown key.
     fn lightest(&mut self, now: Time, id: RequestId, candidates: &[usize]) -> Option<usize> {
         let live = &self.live[&id];
         let class = live.request.class.0;
@@ -643,15 +643,14 @@
             self.warm.insert(key, server);
         }
         self.memory = Some(server);
-        let suspect = self.servers[server].records[WHOLE].suspicion.is_some();
-        if !suspect && !self.circle.is_empty() && !self.circle.contains(&server) {
+        let sound = self.servers[server].records[WHOLE].suspicion.is_none();
+        if sound && !self.circle.is_empty() && !self.circle.contains(&server) {
             let place = self.rng.usize(0..self.circle.len());
             self.circle[place] = server;
         }
     }
 
-    /// Holds the circle to its size and to servers that serve and are not suspect. Newcomers are drawn
-    /// uniformly, suspects where there are no others.
+    /// Holds the circle to its size and to servers that serve; newcomers are drawn uniformly, suspects last.
     fn close_circle(&mut self, now: Time) {
         let servers = &self.servers;
         let fit = |i: usize| servers[i].records[WHOLE].suspicion.is_none();
@@ -689,8 +688,6 @@
         out.push(Action::Send { request: id, server: s.listed.server, begin_by, timeout_at });
     }
 
-    // ---- cold servers -------------------------------------------------------------------------------
-
     /// The share of its capacity that a server surely has.
     fn warmth(&self, s: &Server, now: Time) -> f64 {
         let Some(started) = s.listed.started else { return 1.0 };
@@ -845,11 +842,11 @@
 
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
         let aim = self.settings.classes[flight.class].aim.ms();
-        let load = self.load(now, flight.server) + 1.0;
+        let (load, at_work) = (self.load(now, flight.server) + 1.0, self.at_work());
         let s = &mut self.servers[flight.server];
         let of_class = flight.class + 1;
-        let lost = outcome == Outcome::TimedOut || flight.stuck && outcome == Outcome::Cancelled;
-        let lost = lost && s.overtaken > flight.sent;
+        let late = outcome == Outcome::TimedOut || flight.stuck && outcome == Outcome::Cancelled;
+        let lost = late && s.overtaken > flight.sent;
         self.lost += if lost { LOST_GAIN * (1.0 - self.lost) } else { -LOST_FADE * self.lost };
         let used = match outcome {
             // Late is late: one costly request must not weigh like ten.
@@ -888,6 +885,13 @@
             record.failing += FAILING_GAIN * (f64::from(u8::from(failed)) - record.failing);
         }
         if used > 0.0 {
+            let crowd = (used / self.class_pace[flight.class].max(0.001)).min(8.0);
+            self.crowd += FAILING_GAIN * (crowd - self.crowd);
+            if self.crowd > CROWD {
+                self.room = (self.room * ROOM_CUT).max(1.0);
+            } else if at_work + 1.0 >= self.room {
+                self.room *= ROOM_GROWTH;
+            }
             s.pace = if s.pace == 0.0 { used } else { s.pace + PACE_GAIN * (used - s.pace) };
             let over = (s.pace / TARGET - 1.0).min(2.0);
             let factor = if used >= 1.0 { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
@@ -1044,11 +1048,10 @@
         self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
     }
 
-    /// A server is silent if an attempt there is overdue and nothing has come back since it was sent; where
-    /// answers get lost, that one is held for lost, and so is one that others have overtaken. What may be
-    /// repeated and can still be answered in time is called back and sent elsewhere.
+    /// A server is silent if an attempt there is overdue and nothing has come back since; where answers get
+    /// lost, so is one that others have overtaken. What may be repeated in time is called back and goes on.
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
-        let overdue = |(&key, flight): (&Sent, &Flight)| {
+        let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
             let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { 1.0 };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
--- a/src/told.rs
+++ b/src/told.rs
@@ -117,7 +117,10 @@
     pub fn hear(&mut self, now: Time, told: &mut Told, word: &Word, own: f64, usual_ms: f64) {
         let Some((load, time)) = word.load() else { return };
         if let (Some(time), Some(service)) = (time, word.service_ms) {
-            self.learn_usual(service, usual_ms);
+            if self.usual_ms == 0.0 {
+                self.usual_ms = usual_ms.max(0.001);
+            }
+            lean(&mut self.usual_ms, service);
             self.learn_breadth(told, load, time / self.usual_ms);
         }
         told.guess(now, (load - own).max(0.0));
@@ -132,21 +135,13 @@
         self.at = now;
     }
 
-    /// An own request was answered by a server that held so many, in this multiple of its usual time. Where reports tell
-    /// no times, this is all that says how many a server works on side by side.
+    /// An own request was answered by a server that held so many, in this multiple of its usual time: for want of reports.
     pub fn answered(&mut self, told: &mut Told, load: f64, stretch: f64) {
         if self.usual_ms == 0.0 {
             self.learn_breadth(told, load, stretch);
         }
     }
 
-    fn learn_usual(&mut self, service: f64, usual_ms: f64) {
-        if self.usual_ms == 0.0 {
-            self.usual_ms = usual_ms.max(0.001);
-        }
-        lean(&mut self.usual_ms, service);
-    }
-
     fn learn_breadth(&mut self, told: &mut Told, load: f64, stretch: f64) {
         let told_much = stretch > PLAIN || load / PLAIN > self.breadth;
         let seen = if stretch > PLAIN { load / stretch } else { load / PLAIN };
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -189,3 +189,35 @@
     let served: Vec<f64> = tally.values().map(share).collect();
     assert!(served[1] > served[0] + 0.05, "the one within its share: {served:?}");
 }
+
+/// Where servers tell nothing, one of hundreds of balancers knows of the crowd at them by its own answers alone. One request
+/// at each of its servers is one of hundreds there: what it may have out in all shrinks, and comes back.
+#[test]
+fn answers_that_take_longer_on_the_whole_leave_less_out_in_all_and_quick_ones_more() {
+    let out_at_once = |crowded: u32, back: u32| {
+        let mut rig = Rig::new(Settings { balancers: 300, ..settings() }, 2);
+        rig.list(fleet(40, 1, 1));
+        // Eight at once, until each has its answer; what was held goes as others come back.
+        for (count, ms) in [(30, 20.0), (crowded, 150.0), (back, 20.0)] {
+            for _ in 0..count {
+                let mut out: Vec<_> =
+                    (0..8).map(|_| rig.ask(0)).filter(|a| a.1.is_some()).map(|a| a.0).collect();
+                while let Some(id) = out.pop() {
+                    let sent = rig.answer(id, 0, Outcome::Success, ms).to_vec();
+                    out.extend(sent.iter().filter_map(|a| match a {
+                        Action::Send { request, .. } => Some(*request),
+                        _ => None,
+                    }));
+                }
+                rig.wait(Span::from_ms(ms));
+            }
+        }
+        let asked: Vec<_> = (0..40).map(|_| rig.ask(0)).collect();
+        assert!(rig.observer.faults.is_empty(), "{:?}", rig.observer.faults);
+        asked.iter().filter(|a| a.1.is_some()).count()
+    };
+    let (calm, crowd, after) = (out_at_once(0, 0), out_at_once(20, 0), out_at_once(20, 40));
+    assert!(calm >= 16, "{calm} at once in a calm");
+    assert!((1..=4).contains(&crowd), "{crowd} at once in a crowd");
+    assert!(after > 2 * crowd, "{after} at once after it");
+}
