--- /dev/null
+++ b/lab/src/capacity/mod.rs
@@ -0,0 +1,3 @@
+//! The capacity model: committed measurements of what drives cost, fitted and set against a target size.
+
+pub mod measurement;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(outcome.passed(), "{:?}", outcome.verdict);
 //! ```
 
+pub mod capacity;
 pub mod clock;
 pub mod emulate;
 pub mod fleet;
