A line that can't be read brings back nobody whom a whole list left out

Seen: twelve servers are left out by a whole list, a later one names them by lines that can't be read, one server serves. The agent answered the first request 503 though that one was idle. Cause: Servers::take_list told the module the last readable line of each (Server::listed: serving), while the agent holds them for gone and sends nothing there, so that each of the three attempts was lost. Ruled out: servers that drain (their status is in the line that was read), lines that can be read (they do bring a server back: test). Now a server that a whole list leaves out is known as gone to the module, too. servers/tests.rs and loopback lists.rs: both failed before.

--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -14,7 +14,7 @@
 
 struct Server {
     place: Place,
-    /// Its line as it was last read.
+    /// What the module was last told of it.
     listed: Listed,
     serving: bool,
     /// It has left, and is not only draining.
@@ -104,8 +104,7 @@
             let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
             for (id, server) in &mut self.servers {
                 if !named.contains(id) {
-                    server.turn_off(pool);
-                    server.gone = true;
+                    server.leave(pool);
                 }
             }
         }
@@ -164,6 +163,13 @@
 }
 
 impl Server {
+    /// A whole list has left it out: what is known of it from now on is that it has left.
+    fn leave(&mut self, pool: &Pool) {
+        self.turn_off(pool);
+        self.gone = true;
+        self.listed.status = Status::Gone;
+    }
+
     fn turn_off(&mut self, pool: &Pool) {
         self.serving = false;
         self.off_since.get_or_insert_with(Instant::now);
@@ -171,6 +177,9 @@
     }
 }
 
+#[cfg(test)]
+mod tests;
+
 #[cfg(test)]
 impl Servers {
     /// The numbers of the servers that are known, and how many records there are of them.
--- a/agent/tests/loopback/lists.rs
+++ b/agent/tests/loopback/lists.rs
@@ -121,6 +121,29 @@
     }
 }
 
+/// A whole list leaves servers out, and a later one names them by lines that can't be read: they have left all the same, and no
+/// attempt of a request is lost on them.
+#[test]
+fn lines_that_cannot_be_read_bring_nobody_back() {
+    const LEFT: usize = 12;
+    let (left, other) = (Backend::new(|_| ok("left")), Backend::new(|_| ok("other")));
+    let here = serving("here", other.address);
+    let all: Vec<String> = (0..LEFT).map(|n| serving(&format!("s{n}"), left.address)).collect();
+    let list = Discovery::new([all.join(","), here.clone()].join(","));
+    let agent = Agent::start(&config(list.address, "", SETTINGS, 1024));
+    list.asked.wait(2);
+    list.change(here.clone());
+    list.asked.wait(3);
+    let garbled = (0..LEFT).map(|n| format!(r#"{{"uid":"s{n}","endpoint":"nowhere","state":"SERVING"}}"#));
+    list.change(garbled.chain([here]).collect::<Vec<_>>().join(","));
+    list.asked.wait(4);
+    let mut client = Client::to(&agent);
+    for n in 0..5 {
+        assert_eq!(client.ask(&request("read", 9000)).body, b"other", "request {n}");
+    }
+    assert_eq!(left.heard.all().len(), 0);
+}
+
 /// A connection that was at work when its server was told to drain is closed once it is free.
 #[test]
 fn a_connection_that_outlasts_the_drain_is_closed() {
