Upstream modules no longer import each other in a cycle; backend.rs split

backend.rs had 693 lines and four modules imported one another in a cycle, so that none could be read alone. What an attempt is made of (attempt), limits and errors of bodies (body), the framing of an answer (framing) and load reports (load_report) are modules of their own now; tests stand in files.

--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -3,8 +3,8 @@
 use super::seats::Seat;
 use crate::budget::{Budget, Portion};
 use crate::requests::Arrival;
-use crate::upstream::backend::Call;
-use crate::upstream::passing::{BODY_MOST, LONG_BYTES};
+use crate::upstream::attempt::Call;
+use crate::upstream::body::{BODY_MOST, LONG_BYTES};
 use crate::upstream::upload::{upload, Source};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
--- a/agent/src/fronts/plain/reply.rs
+++ b/agent/src/fronts/plain/reply.rs
@@ -2,7 +2,8 @@
 
 use super::seats::Seat;
 use crate::budget::Portion;
-use crate::upstream::backend::{ServedBody, Spoilt};
+use crate::upstream::attempt::ServedBody;
+use crate::upstream::body::Spoilt;
 use crate::upstream::passing::Passing;
 use bytes::Bytes;
 use http_body_util::Full;
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -1,7 +1,7 @@
 //! The open requests: who is owed an answer, what is out for each, and when nothing more may be sent for one. No socket
 //! and no clock of its own.
 
-use crate::upstream::backend::{Call, Served};
+use crate::upstream::attempt::{Call, Served};
 use hyper::header::HeaderValue;
 use ryelead::{ClassId, KeyId, RequestId, Span, TenantId};
 use std::collections::{HashMap, HashSet};
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -1,18 +1,20 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
-use super::passing::{Passed, Passing, BODY_MOST, LONG_BYTES, SHORT_MOST};
+use super::attempt::{Call, Ended, Owner, Progress, Served, ServedBody, Stage};
+use super::body::{Spoilt, BODY_MOST, LONG_BYTES, SHORT_MOST};
+use super::framing::framing;
+use super::load_report::LoadReports;
+use super::passing::{Passed, Passing};
 use super::pool::{Lease, Place, Pool};
-use super::upload::{Sending, Upload};
+use super::upload::Sending;
 use crate::budget::{Budget, Portion};
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::Outcome;
-use std::cell::Cell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -35,82 +37,6 @@
 const STUCK_EVERY: Duration = Duration::from_millis(500);
 /// A probe that has not been answered by then has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
-/// A figure of a load report beyond this is no figure.
-const FIGURE_MOST: f64 = 1e5;
-
-/// A client's request as it goes to a backend.
-pub struct Call {
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub uri: Uri,
-    /// The headers that go on unchanged.
-    pub headers: HeaderMap,
-    /// Its body, or what is kept of it.
-    pub body: Bytes,
-    /// The rest of it, if it is long.
-    pub upload: Option<Rc<Upload>>,
-    /// The memory that the body holds.
-    pub _portion: Option<Portion>,
-}
-
-impl Call {
-    /// Fewer bytes than this are certainly not the whole message; no number of them is if it has not all come.
-    fn least_bytes(&self) -> u64 {
-        let rest = match &self.upload {
-            Some(upload) => upload.passed_whole(),
-            None => Some(0),
-        };
-        let Some(rest) = rest else { return u64::MAX };
-        let headers: usize = self.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-        rest + (self.method.as_str().len() + self.uri.path().len() + headers + self.body.len()) as u64
-    }
-}
-
-/// A backend's 200, to be passed on unchanged.
-pub struct Served {
-    /// The body.
-    pub body: ServedBody,
-    /// What it is.
-    pub content_type: Option<HeaderValue>,
-}
-
-/// The body of a backend's answer.
-pub enum ServedBody {
-    /// All of it, and the memory that it holds.
-    Whole(Bytes, Portion),
-    /// As it comes.
-    Passing(Box<Passing>),
-}
-
-/// How an attempt or a probe ended.
-pub struct Ended {
-    /// In the module's terms.
-    pub outcome: Outcome,
-    /// The load report, if a readable one came.
-    pub report: Option<Vec<f64>>,
-    /// The answer, if the outcome is a success and it has not been passed on already.
-    pub served: Option<Served>,
-    /// When the answer began, if it was passed on as it came.
-    pub began: Option<Instant>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, served: None, began: None }
-    }
-}
-
-/// Why there is no answer, or not all of it.
-#[derive(Debug, thiserror::Error)]
-pub enum Spoilt {
-    /// The connection ended, or what came could not be read.
-    #[error("the connection to the server has ended")]
-    Connection,
-    /// It is none that may be believed.
-    #[error("the server's answer is not whole, or none at all")]
-    Answer,
-}
 
 /// What has come back for an attempt.
 enum Reply {
@@ -129,52 +55,17 @@
     rest: Incoming,
 }
 
-/// How far an attempt has come.
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-pub enum Stage {
-    /// Nothing of it can have been written.
-    #[default]
-    Ahead,
-    /// A byte of it may have been written.
-    Sent,
-    /// Its answer is being passed on: no time-out and no cancel of the attempt counts any more.
-    Passing,
-}
-
-/// Shows how far an attempt has come to whoever stops waiting for it.
-#[derive(Default)]
-pub struct Progress(Cell<Stage>);
-
-impl Progress {
-    /// How far it has come.
-    pub fn stage(&self) -> Stage {
-        self.0.get()
-    }
-}
-
-/// What an attempt asks of those who sent it.
-pub trait Owner {
-    /// Whether the first byte may go now: while the connection was on its way a server may have been told to drain, and a
-    /// client may have gone.
-    fn may_send(&self) -> bool;
-    /// A long request is about to be sent with this attempt, and can't be sent with another.
-    fn bind(&self);
-    /// A long answer has begun; false if its request has had its answer.
-    fn begin(&self, served: Served) -> bool;
-}
-
 /// Attempts and probes on the connections to all backends.
 pub struct Backends {
     pool: Rc<Pool>,
     bodies: Rc<Budget>,
-    fields: Vec<String>,
-    has_reports: bool,
+    reports: LoadReports,
 }
 
 impl Backends {
     /// `fields` are the names in a load report, empty where there are none.
     pub fn new(pool: Rc<Pool>, bodies: Rc<Budget>, fields: Vec<String>, has_reports: bool) -> Rc<Self> {
-        Rc::new(Backends { pool, bodies, fields, has_reports })
+        Rc::new(Backends { pool, bodies, reports: LoadReports::new(fields, has_reports) })
     }
 
     /// The connections.
@@ -203,7 +94,7 @@
             if call.upload.is_some() {
                 owner.bind();
             }
-            progress.0.set(Stage::Sent);
+            progress.set(Stage::Sent);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
             let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
@@ -228,7 +119,7 @@
                 Ok(Reply::Long(Begun { content_type, first, portion, rest })) => {
                     // With no memory left it waits for those before it, within its attempt's time.
                     let portions = (portion, self.bodies.take_when_free(LONG_BYTES).await);
-                    progress.0.set(Stage::Passing);
+                    progress.set(Stage::Passing);
                     let began = Some(Instant::now());
                     view.allow(LONG_MOST);
                     let (passing, passed) = Passing::new(first, rest, lease, portions);
@@ -252,7 +143,7 @@
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
                 Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 && untouched => {
-                    progress.0.set(Stage::Ahead);
+                    progress.set(Stage::Ahead);
                 }
                 Err(Spoilt::Connection) if written < least => return Outcome::ConnectFailed.into(),
                 Err(_) => return Outcome::ConnectionReset.into(),
@@ -287,7 +178,7 @@
     async fn read(&self, answer: Response<Incoming>) -> Result<Reply, Spoilt> {
         let (head, mut body) = answer.into_parts();
         let framing = framing(head.status, &head.headers).ok_or(Spoilt::Answer)?;
-        let report = head.headers.get("x-load-report").and_then(|v| self.report(v.as_bytes()));
+        let report = head.headers.get("x-load-report").and_then(|v| self.reports.read(v.as_bytes()));
         let turned_away = head.headers.get("x-rejected").is_some_and(|v| v == "1");
         let outcome = match head.status {
             StatusCode::OK => Outcome::Success,
@@ -334,7 +225,7 @@
 
     /// Asks a server how it is.
     pub async fn probe(&self, place: Place) -> Ended {
-        let uri = Uri::from_static(if self.has_reports { "/stats" } else { "/health/live" });
+        let uri = Uri::from_static(if self.reports.are_sent() { "/stats" } else { "/health/live" });
         let (headers, body) = (HeaderMap::new(), Bytes::new());
         let call = Call { method: Method::GET, uri, headers, body, upload: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
@@ -342,22 +233,10 @@
         let attempt = self.attempt(place, &call, until, &progress, &Probing);
         let Ok(mut ended) = timeout_at(until, attempt).await else { return Outcome::TimedOut.into() };
         if let Some(Served { body: ServedBody::Whole(text, _), .. }) = ended.served.take() {
-            ended.report = ended.report.or_else(|| self.report(&text));
+            ended.report = ended.report.or_else(|| self.reports.read(&text));
         }
         ended
     }
-
-    /// A load report in the order of the settings; `None` if it can't be read, lacks a field or is absurd.
-    fn report(&self, text: &[u8]) -> Option<Vec<f64>> {
-        if !self.has_reports {
-            return None;
-        }
-        let text = std::str::from_utf8(text).ok()?;
-        let text = text.trim();
-        let pairs: Option<HashMap<&str, f64>> = text.split(',').map(pair).collect();
-        let pairs = pairs?;
-        self.fields.iter().map(|field| pairs.get(field.as_str()).copied()).collect()
-    }
 }
 
 /// A probe goes whenever the module says so, and nobody waits for a long answer to it.
@@ -375,33 +254,6 @@
     }
 }
 
-fn pair(text: &str) -> Option<(&str, f64)> {
-    let (name, value) = text.split_once('=')?;
-    let value: f64 = value.trim().parse().ok()?;
-    (0.0..=FIGURE_MOST).contains(&value).then_some((name.trim(), value))
-}
-
-/// How long the body of an answer is by its head, `Some(None)` if its end will tell; `None` if the head says it twice, in
-/// a way that nobody can read, or says more than any answer may hold: what is read behind such a head may be anything.
-fn framing(status: StatusCode, headers: &HeaderMap) -> Option<Option<u64>> {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    if status == StatusCode::SWITCHING_PROTOCOLS {
-        return None;
-    }
-    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
-        (Some(length), None, None, None) => {
-            length.to_str().ok()?.parse().ok().filter(|length| *length <= BODY_MOST).map(Some)
-        }
-        (None, None, Some(coding), None) => {
-            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(None)
-        }
-        // It lasts to the end of the connection.
-        (None, None, None, None) => Some(None),
-        _ => None,
-    }
-}
-
 /// Comes back when an answer has begun, has not been read whole, and nothing more of it has come for a while.
 async fn stalled(view: &View, received: u64, informed: &AtomicBool) {
     loop {
@@ -444,250 +296,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use ryelead::ServerId;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::LocalSet;
-
-    /// Says whether it may be sent, and takes no long answer.
-    struct Asked(bool);
-
-    impl Owner for Asked {
-        fn may_send(&self) -> bool {
-            self.0
-        }
-
-        fn bind(&self) {}
-
-        fn begin(&self, _: Served) -> bool {
-            false
-        }
-    }
-
-    fn of(pool: Rc<Pool>, fields: &[&str]) -> Rc<Backends> {
-        let fields: Vec<String> = fields.iter().map(|f| f.to_string()).collect();
-        let has_reports = !fields.is_empty();
-        Backends::new(pool, Budget::new(1 << 20), fields, has_reports)
-    }
-
-    fn backends() -> Rc<Backends> {
-        of(Pool::new(4, Duration::from_secs(20), Duration::from_secs(60)), &[])
-    }
-
-    fn post(body: usize) -> Call {
-        let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        Call { method: Method::POST, uri, headers, body: vec![7; body].into(), upload: None, _portion: None }
-    }
-
-    async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
-        attempt_of(&backends(), address, body, may_send).await
-    }
-
-    async fn attempt_of(
-        backends: &Rc<Backends>,
-        address: SocketAddr,
-        body: usize,
-        may_send: bool,
-    ) -> Outcome {
-        let place = Place { server: ServerId(0), address, life: 0 };
-        let until = Instant::now() + Duration::from_secs(60);
-        let progress = Progress::default();
-        backends.attempt(place, &post(body), until, &progress, &Asked(may_send)).await.outcome
-    }
-
-    /// Takes a long answer as a client does, whole.
-    struct Reader;
-
-    impl Owner for Reader {
-        fn may_send(&self) -> bool {
-            true
-        }
-
-        fn bind(&self) {}
-
-        fn begin(&self, served: Served) -> bool {
-            if let ServedBody::Passing(passing) = served.body {
-                tokio::task::spawn_local(passing.collect());
-            }
-            true
-        }
-    }
-
-    /// The report of a long answer is as old as its head when the answer ends, and would pass for news.
-    #[tokio::test]
-    async fn a_long_answer_brings_no_report() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let place = Place { server: ServerId(0), address, life: 0 };
-        let until = Instant::now() + Duration::from_secs(60);
-        for (length, report) in [(10, Some(vec![4.0])), (SHORT_MOST + 1, None)] {
-            let second = Duration::from_secs(1);
-            let backends = of(Pool::new(4, second, second), &["queue"]);
-            let (call, progress) = (post(9), Progress::default());
-            let peer = async {
-                let (mut stream, _) = listener.accept().await.unwrap();
-                let mut seen = 0;
-                while seen < call.least_bytes() as usize {
-                    seen += stream.read(&mut [0; 4096]).await.unwrap();
-                }
-                let head =
-                    format!("HTTP/1.1 200 OK\r\nX-Load-Report: queue=4\r\nContent-Length: {length}\r\n\r\n");
-                stream.write_all(&[head.as_bytes(), &vec![7; length]].concat()).await.unwrap();
-                stream
-            };
-            let both =
-                async { tokio::join!(backends.attempt(place, &call, until, &progress, &Reader), peer) };
-            let (ended, _) = LocalSet::new().run_until(both).await;
-            assert_eq!(
-                (ended.outcome, ended.report, ended.began.is_some()),
-                (Outcome::Success, report, length > 10)
-            );
-        }
-    }
-
-    /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
-    #[tokio::test]
-    async fn past_the_cap_nothing_is_sent() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let second = Duration::from_secs(1);
-        let backends = of(Pool::new(1, second, second), &[]);
-        let both = async {
-            tokio::select! {
-                biased;
-                outcome = attempt_of(&backends, address, 9, true) => panic!("silence gave {outcome:?}"),
-                outcome = attempt_of(&backends, address, 9, true) => outcome,
-            }
-        };
-        let outcome = timeout(Duration::from_secs(20), LocalSet::new().run_until(both)).await;
-        assert_eq!(outcome.ok(), Some(Outcome::NotSent));
-        // What the first held is free again.
-        tokio::task::yield_now().await;
-        assert_eq!(backends.pool.count(), 0);
-    }
-
-    /// The drain rule counts a send from its first byte: what was decided before may come too late to go.
-    #[tokio::test]
-    async fn nothing_is_written_once_it_may_not_be_sent() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let local = LocalSet::new();
-        assert_eq!(local.run_until(attempt(address, 9, false)).await, Outcome::NotSent);
-        drop(local);
-        let (mut stream, _) = listener.accept().await.unwrap();
-        assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
-    }
-
-    /// More than the two sockets can hold, to a peer that closes: the last byte is provably not written.
-    #[tokio::test]
-    async fn a_break_before_the_last_byte_never_ran() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let peer = async {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let _ = stream.read(&mut [0; 1]).await;
-        };
-        let both = async { tokio::join!(attempt(address, 64 << 20, true), peer).0 };
-        assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
-    }
-
-    /// What a given-up attempt has not got out must not arrive later, when its request has been answered: a plain close
-    /// would leave it to the kernel, and the peer would read on to a proper end.
-    #[tokio::test]
-    async fn what_is_unsent_when_an_attempt_is_given_up_never_arrives() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let local = LocalSet::new();
-        let mut peer = None;
-        let given_up = async {
-            tokio::select! {
-                outcome = attempt(address, 64 << 20, true) => panic!("nobody read it, and it ended as {outcome:?}"),
-                // Its first bytes are here, and the two sockets can't hold the rest.
-                () = async {
-                    let (stream, _) = listener.accept().await.unwrap();
-                    stream.peek(&mut [0; 1]).await.unwrap();
-                    peer = Some(stream);
-                } => {}
-            }
-        };
-        local.run_until(given_up).await;
-        drop(local);
-        let (mut peer, mut buffer) = (peer.unwrap(), vec![0; 1 << 20]);
-        let end = loop {
-            match peer.read(&mut buffer).await {
-                Ok(0) => break None,
-                Ok(_) => {}
-                Err(e) => break Some(e.kind()),
-            }
-        };
-        assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
-    }
-
-    /// A server that ends each new connection before anything could be written gets no storm of them.
-    #[tokio::test]
-    async fn a_new_connection_that_ends_at_once_is_not_repeated() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        let address = listener.local_addr().unwrap();
-        let mut accepted = 0;
-        // Closes each connection before the runtime hears that it is up.
-        let peer = async {
-            while accepted < 20 {
-                while listener.accept().is_ok() {
-                    accepted += 1;
-                }
-                tokio::task::yield_now().await;
-            }
-        };
-        let outcome = LocalSet::new()
-            .run_until(async {
-                tokio::select! {
-                    biased;
-                    outcome = attempt(address, 9, true) => Some(outcome),
-                    () = peer => None,
-                }
-            })
-            .await;
-        assert_eq!(outcome, Some(Outcome::ConnectFailed), "after {accepted} connections");
-        assert_eq!(accepted, 1);
-    }
-
-    /// A machine that is cut off says nothing; the connect must not wait for ever, and nothing has run.
-    #[tokio::test(start_paused = true)]
-    async fn a_connection_that_never_comes_up_fails_in_time() {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(0).unwrap();
-        let address = socket.local_addr().unwrap().as_socket().unwrap();
-        // What fills the queue is answered; what comes after it is not.
-        let mut queue = Vec::new();
-        for _ in 0..8 {
-            let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-            filler.set_nonblocking(true).unwrap();
-            let _ = filler.connect(&address.into());
-            queue.push(filler);
-        }
-        assert_eq!(LocalSet::new().run_until(attempt(address, 9, true)).await, Outcome::ConnectFailed);
-    }
-
-    #[test]
-    fn a_report_is_read_by_name_and_a_malformed_one_is_none() {
-        let second = Duration::from_secs(1);
-        let backends = of(Pool::new(4, second, second), &["qps", "queue"]);
-        assert_eq!(backends.report(b" queue=2, util=0.6,qps=7"), Some(vec![7.0, 2.0]));
-        for bad in [
-            "",
-            "queue=2",
-            "queue=2,qps",
-            "queue=2,qps=x",
-            "queue=2,qps=NaN",
-            "queue=2,qps=-1",
-            "queue=1e9,qps=1",
-            "\u{ff}",
-        ] {
-            assert_eq!(backends.report(bad.as_bytes()), None, "{bad:?}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/agent/src/upstream/backend/tests.rs
@@ -0,0 +1,220 @@
+use super::*;
+use ryelead::ServerId;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+/// Says whether it may be sent, and takes no long answer.
+struct Asked(bool);
+
+impl Owner for Asked {
+    fn may_send(&self) -> bool {
+        self.0
+    }
+
+    fn bind(&self) {}
+
+    fn begin(&self, _: Served) -> bool {
+        false
+    }
+}
+
+fn of(pool: Rc<Pool>, fields: &[&str]) -> Rc<Backends> {
+    let fields: Vec<String> = fields.iter().map(|f| f.to_string()).collect();
+    let has_reports = !fields.is_empty();
+    Backends::new(pool, Budget::new(1 << 20), fields, has_reports)
+}
+
+fn backends() -> Rc<Backends> {
+    of(Pool::new(4, Duration::from_secs(20), Duration::from_secs(60)), &[])
+}
+
+fn post(body: usize) -> Call {
+    let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
+    Call { method: Method::POST, uri, headers, body: vec![7; body].into(), upload: None, _portion: None }
+}
+
+async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
+    attempt_of(&backends(), address, body, may_send).await
+}
+
+async fn attempt_of(backends: &Rc<Backends>, address: SocketAddr, body: usize, may_send: bool) -> Outcome {
+    let place = Place { server: ServerId(0), address, life: 0 };
+    let until = Instant::now() + Duration::from_secs(60);
+    let progress = Progress::default();
+    backends.attempt(place, &post(body), until, &progress, &Asked(may_send)).await.outcome
+}
+
+/// Takes a long answer as a client does, whole.
+struct Reader;
+
+impl Owner for Reader {
+    fn may_send(&self) -> bool {
+        true
+    }
+
+    fn bind(&self) {}
+
+    fn begin(&self, served: Served) -> bool {
+        if let ServedBody::Passing(passing) = served.body {
+            tokio::task::spawn_local(passing.collect());
+        }
+        true
+    }
+}
+
+/// The report of a long answer is as old as its head when the answer ends, and would pass for news.
+#[tokio::test]
+async fn a_long_answer_brings_no_report() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let place = Place { server: ServerId(0), address, life: 0 };
+    let until = Instant::now() + Duration::from_secs(60);
+    for (length, report) in [(10, Some(vec![4.0])), (SHORT_MOST + 1, None)] {
+        let second = Duration::from_secs(1);
+        let backends = of(Pool::new(4, second, second), &["queue"]);
+        let (call, progress) = (post(9), Progress::default());
+        let peer = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut seen = 0;
+            while seen < call.least_bytes() as usize {
+                seen += stream.read(&mut [0; 4096]).await.unwrap();
+            }
+            let head =
+                format!("HTTP/1.1 200 OK\r\nX-Load-Report: queue=4\r\nContent-Length: {length}\r\n\r\n");
+            stream.write_all(&[head.as_bytes(), &vec![7; length]].concat()).await.unwrap();
+            stream
+        };
+        let both = async { tokio::join!(backends.attempt(place, &call, until, &progress, &Reader), peer) };
+        let (ended, _) = LocalSet::new().run_until(both).await;
+        assert_eq!(
+            (ended.outcome, ended.report, ended.began.is_some()),
+            (Outcome::Success, report, length > 10)
+        );
+    }
+}
+
+/// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
+#[tokio::test]
+async fn past_the_cap_nothing_is_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let second = Duration::from_secs(1);
+    let backends = of(Pool::new(1, second, second), &[]);
+    let both = async {
+        tokio::select! {
+            biased;
+            outcome = attempt_of(&backends, address, 9, true) => panic!("silence gave {outcome:?}"),
+            outcome = attempt_of(&backends, address, 9, true) => outcome,
+        }
+    };
+    let outcome = timeout(Duration::from_secs(20), LocalSet::new().run_until(both)).await;
+    assert_eq!(outcome.ok(), Some(Outcome::NotSent));
+    // What the first held is free again.
+    tokio::task::yield_now().await;
+    assert_eq!(backends.pool.count(), 0);
+}
+
+/// The drain rule counts a send from its first byte: what was decided before may come too late to go.
+#[tokio::test]
+async fn nothing_is_written_once_it_may_not_be_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let local = LocalSet::new();
+    assert_eq!(local.run_until(attempt(address, 9, false)).await, Outcome::NotSent);
+    drop(local);
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
+}
+
+/// More than the two sockets can hold, to a peer that closes: the last byte is provably not written.
+#[tokio::test]
+async fn a_break_before_the_last_byte_never_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 1]).await;
+    };
+    let both = async { tokio::join!(attempt(address, 64 << 20, true), peer).0 };
+    assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
+}
+
+/// What a given-up attempt has not got out must not arrive later, when its request has been answered: a plain close
+/// would leave it to the kernel, and the peer would read on to a proper end.
+#[tokio::test]
+async fn what_is_unsent_when_an_attempt_is_given_up_never_arrives() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let local = LocalSet::new();
+    let mut peer = None;
+    let given_up = async {
+        tokio::select! {
+            outcome = attempt(address, 64 << 20, true) => panic!("nobody read it, and it ended as {outcome:?}"),
+            // Its first bytes are here, and the two sockets can't hold the rest.
+            () = async {
+                let (stream, _) = listener.accept().await.unwrap();
+                stream.peek(&mut [0; 1]).await.unwrap();
+                peer = Some(stream);
+            } => {}
+        }
+    };
+    local.run_until(given_up).await;
+    drop(local);
+    let (mut peer, mut buffer) = (peer.unwrap(), vec![0; 1 << 20]);
+    let end = loop {
+        match peer.read(&mut buffer).await {
+            Ok(0) => break None,
+            Ok(_) => {}
+            Err(e) => break Some(e.kind()),
+        }
+    };
+    assert_eq!(end, Some(std::io::ErrorKind::ConnectionReset));
+}
+
+/// A server that ends each new connection before anything could be written gets no storm of them.
+#[tokio::test]
+async fn a_new_connection_that_ends_at_once_is_not_repeated() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut accepted = 0;
+    // Closes each connection before the runtime hears that it is up.
+    let peer = async {
+        while accepted < 20 {
+            while listener.accept().is_ok() {
+                accepted += 1;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let outcome = LocalSet::new()
+        .run_until(async {
+            tokio::select! {
+                biased;
+                outcome = attempt(address, 9, true) => Some(outcome),
+                () = peer => None,
+            }
+        })
+        .await;
+    assert_eq!(outcome, Some(Outcome::ConnectFailed), "after {accepted} connections");
+    assert_eq!(accepted, 1);
+}
+
+/// A machine that is cut off says nothing; the connect must not wait for ever, and nothing has run.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_never_comes_up_fails_in_time() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // What fills the queue is answered; what comes after it is not.
+    let mut queue = Vec::new();
+    for _ in 0..8 {
+        let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        filler.set_nonblocking(true).unwrap();
+        let _ = filler.connect(&address.into());
+        queue.push(filler);
+    }
+    assert_eq!(LocalSet::new().run_until(attempt(address, 9, true)).await, Outcome::ConnectFailed);
+}
--- a/agent/src/upstream/mod.rs
+++ b/agent/src/upstream/mod.rs
@@ -1,6 +1,13 @@
 //! The servers' side: attempts and probes, and the connections that they go on.
+//!
+//! The modules build on one another in this order, and never the other way: `body`, `upload`, `pool` (with `rest`), `passing`,
+//! `attempt`, `backend` (with `framing` and `load_report`).
 
+pub mod attempt;
 pub mod backend;
+pub mod body;
+mod framing;
+mod load_report;
 pub mod passing;
 pub mod pool;
 mod rest;
--- a/agent/src/upstream/passing.rs
+++ b/agent/src/upstream/passing.rs
@@ -1,10 +1,10 @@
 //! A long answer on its way through: read from the backend's connection as the client takes it, never held whole.
 //!
 //! What is buffered of one is what hyper holds on either side (16 KiB each) and, where the head did not say how long the
-//! answer is, what had come before it was known to be long ([`SHORT_MOST`] at most). A client that takes nothing makes the
+//! answer is, what had come before it was known to be long ([`super::body::SHORT_MOST`] at most). A client that takes nothing makes the
 //! backend wait, by TCP.
 
-use super::backend::Spoilt;
+use super::body::{Spoilt, BODY_MOST};
 use super::pool::Lease;
 use crate::budget::Portion;
 use bytes::Bytes;
@@ -16,13 +16,6 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// An answer up to here is read whole before it is passed on, so that another may take its place if it breaks.
-pub const SHORT_MOST: usize = 64 * 1024;
-/// The longest answer, and request, that is carried.
-pub const BODY_MOST: u64 = 32 * 1024 * 1024;
-/// What a long answer or request holds at most beside its client's connection: the buffers of hyper on both sides, and the
-/// server's connection; by measurement 50 to 66 KiB.
-pub const LONG_BYTES: usize = 72 * 1024;
 /// A backend that gives nothing of a long answer for so long, while its client waits, gives no more.
 const STALL: Duration = Duration::from_secs(5);
 
--- a/agent/src/upstream/upload.rs
+++ b/agent/src/upstream/upload.rs
@@ -2,10 +2,10 @@
 //!
 //! What has come before the request was known to be long is kept, so that an attempt that finds no connection costs nothing.
 //! From the first byte beyond it on, no other attempt can have the request whole; whoever sends it says so to the module
-//! before ([`super::backend::Owner::bind`]). One piece is on its way at a time: a backend that takes nothing makes the
+//! before ([`super::attempt::Owner::bind`]). One piece is on its way at a time: a backend that takes nothing makes the
 //! client wait, by TCP.
 
-use super::passing::BODY_MOST;
+use super::body::BODY_MOST;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
