--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
+mod capacity_command;
 mod fleet_command;
 
 use clap::{Args, Parser, Subcommand};
@@ -89,6 +90,8 @@
     },
     /// Many agents that know of one another, with faults between them: judged, exit status 0 only if every rule held
     Fleet(FleetArguments),
+    /// Write docs/CAPACITY.md from its template, the committed measurements and the target
+    Capacity(capacity_command::CapacityArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -225,6 +228,7 @@
         }
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
+        Some(Task::Capacity(arguments)) => capacity_command::run(&arguments),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
