--- a/lab/src/capacity/figure.rs
+++ b/lab/src/capacity/figure.rs
@@ -7,6 +7,9 @@
 use std::fmt;
 use std::sync::Arc;
 
+/// A prediction for a size beyond the largest fitted one by more than this says so.
+pub const FAR: f64 = 2.0;
+
 /// How a figure was found.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Origin {
@@ -25,6 +28,8 @@
         curve: Curve,
         /// The smallest and the largest fitted size.
         range: (f64, f64),
+        /// The size that was asked for.
+        size: f64,
         /// What was varied.
         driver: String,
     },
@@ -39,11 +44,11 @@
 }
 
 impl Origin {
-    /// A curve's origin, with the range of the sizes that it was fitted to.
-    pub fn fitted(curve: Curve, series: &Series, driver: &str) -> Origin {
+    /// The origin of what a curve says at a size, with the range of the sizes that it was fitted to.
+    pub fn fitted(curve: Curve, series: &Series, driver: &str, size: f64) -> Origin {
         let sizes = series.fitted.iter().map(|point| point.size);
         let range = (sizes.clone().fold(f64::INFINITY, f64::min), sizes.fold(f64::NEG_INFINITY, f64::max));
-        Origin::Fitted { curve, range, driver: driver.into() }
+        Origin::Fitted { curve, range, size, driver: driver.into() }
     }
 }
 
@@ -53,15 +58,17 @@
         match self {
             Origin::Target => write!(out, "target"),
             Origin::Measured { size, driver } => write!(out, "measured at {} {driver}", count(*size)),
-            Origin::Fitted { curve, range, driver } => {
+            Origin::Fitted { curve, range, size, driver } => {
                 let (from, to) = (count(range.0), count(range.1));
                 let (shape, r_squared) = (curve.shape.name(), text(curve.line.r_squared));
                 write!(out, "worked out from a slope: {shape} over {from} to {to} {driver}, r² {r_squared}")?;
-                if curve.fits() {
-                    Ok(())
-                } else {
-                    write!(out, ", which the values don't follow")
+                if !curve.fits() {
+                    write!(out, ", which the values don't follow")?;
+                }
+                if *size > FAR * range.1 {
+                    write!(out, ", {} times beyond the largest", text(size / range.1))?;
                 }
+                Ok(())
             }
             Origin::WorkedOut(how) => write!(out, "worked out: {how}"),
             Origin::Reasoned(how) => write!(out, "by reasoning: {how}"),
@@ -110,6 +117,9 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match (self.value.and_then(number::figure), &self.origin) {
             (Some(number), _) if self.unit == "%" => write!(out, "{number}%"),
+            (Some(number), _) if self.unit == "1" => write!(out, "{number}"),
+            (Some(number), _) if self.unit == "1/s" => write!(out, "{number} a second"),
+            (Some(number), _) if self.unit == "1/call" => write!(out, "{number} a call"),
             (Some(number), _) => write!(out, "{number} {}", self.unit),
             (None, Origin::Absent(_)) => write!(out, "nothing"),
             (None, _) => write!(out, "not measured"),
--- a/lab/src/capacity/fit.rs
+++ b/lab/src/capacity/fit.rs
@@ -69,15 +69,39 @@
         self.intercept + self.slope * size
     }
 
-    /// Whether the values follow the line: it explains [`LINE_R_SQUARED`] of the variance, or what it leaves is noise between
-    /// repeats ([`NOISE_SPREAD`]) or small ([`SMALL_SPREAD`]).
+    /// Whether the values follow the line, and by what it is known.
+    pub fn quality(&self) -> Quality {
+        if self.r_squared >= LINE_R_SQUARED {
+            Quality::Follows
+        } else if self.spread <= NOISE_SPREAD * self.repeat_spread {
+            Quality::WithinNoise
+        } else if self.spread <= SMALL_SPREAD * self.mean.abs() {
+            Quality::Small
+        } else {
+            Quality::Off
+        }
+    }
+
+    /// Whether the values follow the line.
     pub fn is_line(&self) -> bool {
-        let is_noise = self.spread <= NOISE_SPREAD * self.repeat_spread;
-        let is_small = self.spread <= SMALL_SPREAD * self.mean.abs();
-        self.r_squared >= LINE_R_SQUARED || is_noise || is_small
+        self.quality() != Quality::Off
     }
 }
 
+/// How well values follow a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Quality {
+    /// The line explains [`LINE_R_SQUARED`] of the variance.
+    Follows,
+    /// What it leaves is noise between repeats: [`NOISE_SPREAD`].
+    WithinNoise,
+    /// What it leaves is small against the values: [`SMALL_SPREAD`].
+    Small,
+    /// Something else than this line.
+    Off,
+}
+
 /// How a quantity grows with its driver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -6,6 +6,8 @@
 //! | --- | --- |
 //! | `at(name, key, size)` | the median measured at the size, or where there is none what the curve predicts |
 //! | `measured(name, key, size)`, `predict(name, key, size)` | only the one or the other |
+//! | the same with `or_not_measured=` or `or_absent=` | that reason, while there is no such measurement at all |
+//! | `scaled(figure, factor, unit, how)`, `power(figure, exponent, unit, how)`, `total(figures, unit, how)` | a figure from others; without a number if one of those has none |
 //! | `allowed(number, unit)` | a number of the target |
 //! | `worked_out(number, unit, how)`, `reasoned(number, unit, how)` | a number that follows from others, or from reasoning |
 //! | `absent(what)`, `not_measured(why)` | no number, said so |
@@ -14,6 +16,7 @@
 //! | `headroom(need, have)` | the ratio as text |
 //! | `fit_table(name)`, `provenance()` | fits of a measurement; where every measurement comes from, to be called last |
 //! | `source(file)` | a file of the repository, which has to exist |
+//! | `exists(file)` | whether it does, for what is still to come |
 //! | `x \| figure`, `x \| count` | numbers as text |
 //!
 //! It is given `target` (the keys of `target.toml`), `measurements` (all names) and `settings.max_attempts`.
--- a/lab/src/capacity/page/functions.rs
+++ b/lab/src/capacity/page/functions.rs
@@ -56,7 +56,7 @@
         let curve = measurements.curve(name, key).map_err(fault)?;
         let driver = &measurements.get(name).map_err(fault)?.driver;
         let series = measurements.series(name, key).map_err(fault)?;
-        figure(curve.at(size), &series.unit, Origin::fitted(curve, series, driver))
+        figure(curve.at(size), &series.unit, Origin::fitted(curve, series, driver, size))
     }
 
     fn at(&self, name: &str, key: &str, size: f64) -> Result<Value, Error> {
@@ -66,6 +66,20 @@
         }
     }
 
+    /// As the lookup, but where the whole measurement is missing a figure without a number, if the template gives the reason.
+    fn look_up(&self, lookup: Lookup, place: (&str, &str, f64), arguments: &Kwargs) -> Result<Value, Error> {
+        let (name, key, size) = place;
+        let or_not_measured: Option<String> = arguments.get("or_not_measured")?;
+        let or_absent: Option<String> = arguments.get("or_absent")?;
+        arguments.assert_all_used()?;
+        match (or_not_measured, or_absent) {
+            (Some(why), None) if !self.measurements.has(name) => missing(Origin::NotMeasured(said(&why)?)),
+            (None, Some(what)) if !self.measurements.has(name) => missing(Origin::Absent(said(&what)?)),
+            (Some(_), Some(_)) => Err(fault(format!("{name}: either or_not_measured or or_absent"))),
+            _ => lookup(self, name, key, size),
+        }
+    }
+
     fn row(&self, name: &str, arguments: &Kwargs) -> Result<Value, Error> {
         let row = Row {
             name: name.into(),
@@ -107,15 +121,17 @@
     }
 }
 
+/// How a figure is found by measurement, series and size.
+type Lookup = fn(&Model, &str, &str, f64) -> Result<Value, Error>;
+
 /// Makes all functions known to templates.
 pub fn install(environment: &mut Environment<'_>, model: &Arc<Model>) {
-    type Lookup = fn(&Model, &str, &str, f64) -> Result<Value, Error>;
     let lookups: [(&'static str, Lookup); 3] =
         [("at", Model::at), ("measured", Model::measured), ("predict", Model::predict)];
     for (name, lookup) in lookups {
-        let model = model.clone();
-        environment.add_function(name, move |measurement: &str, key: &str, size: f64| {
-            lookup(&model, measurement, key, size)
+        let the = model.clone();
+        environment.add_function(name, move |name: &str, key: &str, size: f64, arguments: Kwargs| {
+            the.look_up(lookup, (name, key, size), &arguments)
         });
     }
     let the = model.clone();
@@ -123,6 +139,8 @@
     let the = model.clone();
     environment.add_function("source", move |file: &str| the.source(file));
     let the = model.clone();
+    environment.add_function("exists", move |file: &str| is_source(&the.root, file));
+    let the = model.clone();
     environment.add_function("fit_table", move |name: &str| the.fit_table(name));
     let the = model.clone();
     environment.add_function("provenance", move || the.provenance());
@@ -138,6 +156,16 @@
     environment.add_function("reasoned", |value: f64, unit: &str, how: &str| {
         figure(value, unit, Origin::Reasoned(said(how)?))
     });
+    environment.add_function("scaled", |from: Value, factor: f64, unit: &str, how: &str| {
+        derived(&[from], unit, how, |values| values[0] * factor)
+    });
+    environment.add_function("power", |from: Value, exponent: f64, unit: &str, how: &str| {
+        derived(&[from], unit, how, |values| values[0].powf(exponent))
+    });
+    environment.add_function("total", |from: Vec<Value>, unit: &str, how: &str| {
+        same_unit(&from, unit)?;
+        derived(&from, unit, how, |values| values.iter().sum())
+    });
     environment.add_function("absent", |what: &str| missing(Origin::Absent(said(what)?)));
     environment.add_function("not_measured", |why: &str| missing(Origin::NotMeasured(said(why)?)));
     environment.add_function("headroom", |need: Value, have: Value| {
@@ -173,6 +201,29 @@
     Figure::new(value, unit, origin).map(Value::from_object).map_err(fault)
 }
 
+/// A figure worked out from others; the first of them that has no number takes its place.
+fn derived(from: &[Value], unit: &str, how: &str, value: impl Fn(&[f64]) -> f64) -> Result<Value, Error> {
+    let mut values = Vec::new();
+    for part in from {
+        let part = figure_of(part, how)?;
+        match part.value {
+            Some(value) => values.push(value),
+            None => return missing(part.origin),
+        }
+    }
+    figure(value(&values), unit, Origin::WorkedOut(said(how)?))
+}
+
+fn same_unit(figures: &[Value], unit: &str) -> Result<(), Error> {
+    for part in figures {
+        let part = figure_of(part, "total")?;
+        if part.value.is_some() && part.unit != unit {
+            return Err(fault(format!("total: {part} is not in {unit}")));
+        }
+    }
+    Ok(())
+}
+
 fn missing(origin: Origin) -> Result<Value, Error> {
     Ok(Value::from_object(Figure::missing(origin)))
 }
--- a/lab/src/capacity/page/tables.rs
+++ b/lab/src/capacity/page/tables.rs
@@ -1,7 +1,7 @@
 //! Tables about the measurements themselves: their fits, and where they come from.
 
 use crate::capacity::figure::count;
-use crate::capacity::fit::Curve;
+use crate::capacity::fit::{Curve, Quality};
 use crate::capacity::measurement::{Measurement, Point, Series};
 use crate::capacity::measurements::{median, shortfalls, MeasurementError, Measurements};
 use crate::capacity::number;
@@ -36,8 +36,13 @@
 
 fn fit_line(series: &Series, curve: &Curve) -> [String; 8] {
     let sizes: Vec<String> = series.fitted.iter().map(|point| count(point.size)).collect();
-    let shape =
-        if curve.fits() { curve.shape.name().into() } else { format!("not a {}", curve.shape.name()) };
+    let name = curve.shape.name();
+    let shape = match curve.line.quality() {
+        Quality::Follows => name.to_string(),
+        Quality::WithinNoise => format!("{name}, within noise"),
+        Quality::Small => format!("{name}, residuals small"),
+        Quality::Off => format!("not a {name}"),
+    };
     let held_out: Vec<String> = series.held_out.iter().map(|point| held_out(curve, point)).collect();
     [
         format!("`{}`, {}", series.key, series.unit),
--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -26,8 +26,9 @@
     assert_eq!(text("{{ measured('idle', 'cpu', 1600) }}"), "6.2 ms/s");
     assert_eq!(text("{{ measured('idle', 'cpu', 1600).how }}"), "measured at 1,600 servers known");
     assert_eq!(text("{{ predict('idle', 'cpu', 3200) }}"), "9.4 ms/s");
-    let how = text("{{ predict('idle', 'cpu', 3200).how }}");
-    assert_eq!(how, "worked out from a slope: line over 100 to 800 servers known, r² 1");
+    let how = "worked out from a slope: line over 100 to 800 servers known, r² 1";
+    assert_eq!(text("{{ predict('idle', 'cpu', 1600).how }}"), how);
+    assert_eq!(text("{{ predict('idle', 'cpu', 3200).how }}"), format!("{how}, 4 times beyond the largest"));
     assert!(text("{{ predict('idle', 'list', 400).how }}").contains("square over"));
     assert_eq!(text("{{ predict('idle', 'list', 3200) }}"), "10,200 KB");
     assert_eq!(
@@ -70,6 +71,31 @@
     }
 }
 
+#[test]
+fn a_measurement_that_is_still_to_come_needs_its_reason_and_excuses_no_other_gap() {
+    assert_eq!(text("{{ at('busy', 'cpu', 1, or_not_measured='no run').how }}"), "not measured: no run");
+    assert_eq!(text("{{ at('busy', 'cpu', 1, or_absent='no code').how }}"), "not there: no code");
+    assert_eq!(text("{{ at('idle', 'cpu', 1600, or_absent='no code') }}"), "6.2 ms/s");
+    assert!(fault("{{ at('idle', 'ram', 1, or_not_measured='no run') }}").contains("no series `ram`"));
+    assert!(fault("{{ measured('idle', 'cpu', 1, or_not_measured='no run') }}").contains("not measured at 1"));
+    assert!(fault("{{ at('busy', 'cpu', 1, or_not_measured=' ') }}").contains("has to say"));
+    assert!(fault("{{ at('busy', 'cpu', 1, or_absent='a', or_not_measured='b') }}").contains("either"));
+    assert!(fault("{{ at('busy', 'cpu', 1, or='a') }}").contains("or"));
+}
+
+#[test]
+fn figures_are_worked_out_from_others_and_a_gap_stays_a_gap() {
+    let cpu = "at('idle', 'cpu', 1600)";
+    assert_eq!(text(&format!("{{{{ scaled({cpu}, 9, 'ms/s', 'nine times') }}}}")), "55.8 ms/s");
+    assert_eq!(text(&format!("{{{{ power({cpu}, 2, 'x', 'squared') }}}}")), "38.4 x");
+    assert_eq!(text(&format!("{{{{ total([{cpu}, {cpu}], 'ms/s', 'twice').how }}}}")), "worked out: twice");
+    let gap = format!("{{{{ total([{cpu}, not_measured('no run')], 'ms/s', 'both').how }}}}");
+    assert_eq!(text(&gap), "not measured: no run");
+    assert!(fault(&format!("{{{{ total([{cpu}], 's', 'x') }}}}")).contains("6.2 ms/s is not in s"));
+    assert!(fault(&format!("{{{{ scaled({cpu}, 9, 'ms/s', '') }}}}")).contains("has to say"));
+    assert!(fault("{{ scaled(5, 9, 'ms/s', 'x') }}").contains("5 is no figure"));
+}
+
 #[test]
 fn rows_stand_once_and_need_figures_and_files() {
     let table = text(&format!("{{{{ ranked([{ROW}]) }}}}"));
