--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod flaw;
 pub mod live;
 pub mod measure;
+pub mod membership;
 pub mod net;
 pub mod page;
 pub mod plan;
--- a/lab/src/fleet/simulate.rs
+++ b/lab/src/fleet/simulate.rs
@@ -372,6 +372,11 @@
         })
     }
 
+    /// Whether nobody has any gossip left to pass on.
+    pub fn is_quiet(&self) -> bool {
+        self.members.iter().filter_map(|m| m.view.as_ref()).all(|view| view.gossip_backlog() == 0)
+    }
+
     /// Lets time pass until all are settled; how long that took, in seconds, or nothing if it did not come in time.
     pub fn settle(&mut self, within: f64) -> Option<f64> {
         let start = self.now();
--- a/lab/src/fleet_command.rs
+++ b/lab/src/fleet_command.rs
@@ -5,6 +5,7 @@
 use dilljunction_lab::fleet::evidence::Evidence;
 use dilljunction_lab::fleet::flaw::Flaw;
 use dilljunction_lab::fleet::measure;
+use dilljunction_lab::fleet::membership::Campaign;
 use dilljunction_lab::fleet::page::{page, Row};
 use dilljunction_lab::fleet::plan::Plan;
 use dilljunction_lab::fleet::rig::{Rig, LATE_MOST};
@@ -53,6 +54,9 @@
 }
 
 pub async fn run(arguments: FleetArguments) -> Result<bool, String> {
+    if let Some(folder) = &arguments.out {
+        return write_membership(&arguments, folder);
+    }
     if arguments.measure {
         let rows = measure::measure(arguments.agents, arguments.seed, arguments.runs);
         print!("{}", measure::table(arguments.agents, &rows));
@@ -108,6 +112,29 @@
     Ok(kept == rows.len())
 }
 
+/// Measures several sizes and writes `membership-virtual.json` into a folder.
+fn write_membership(arguments: &FleetArguments, folder: &Path) -> Result<bool, String> {
+    let text = |sizes: &[usize]| sizes.iter().map(usize::to_string).collect::<Vec<_>>().join(",");
+    let FleetArguments { sizes, held_out, seed, runs, held_out_runs, threads, .. } = arguments;
+    let command = format!(
+        "dilljunction-lab fleet --measure --sizes {} --held-out {} --seed {seed} --runs {runs} --held-out-runs {held_out_runs} \
+         --threads {threads} --out docs/capacity",
+        text(sizes),
+        text(held_out)
+    );
+    let campaign = Campaign {
+        fitted: sizes.clone(),
+        held_out: held_out.clone(),
+        fitted_seeds: *runs,
+        held_out_seeds: *held_out_runs,
+        first_seed: *seed,
+        threads: *threads,
+        command,
+    };
+    campaign.measure(|timed| println!("{}", timed.line()))?.write(folder)?;
+    Ok(true)
+}
+
 fn write(path: Option<&Path>, text: impl FnOnce() -> Result<String, String>) -> Result<(), String> {
     let Some(path) = path else { return Ok(()) };
     std::fs::write(path, text()?).map_err(|e| format!("{}: {e}", path.display()))
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -112,6 +112,21 @@
     /// In virtual time: measure how long a crash, a start, and the end of a partition take to be known
     #[arg(long)]
     measure: bool,
+    /// With --measure and --out: the numbers of agents that a line is fitted to
+    #[arg(long, value_name = "N", value_delimiter = ',', default_values_t = [100, 200, 400, 800])]
+    sizes: Vec<usize>,
+    /// With --measure and --out: the numbers of agents that are kept out of the fit
+    #[arg(long, value_name = "N", value_delimiter = ',', default_values_t = [1_600])]
+    held_out: Vec<usize>,
+    /// With --measure and --out: seeds for each number that is kept out; --runs is that of the others
+    #[arg(long, default_value_t = 2)]
+    held_out_runs: u64,
+    /// With --measure and --out: runs at a time
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
+    /// With --measure: measure --sizes and --held-out and write membership-virtual.json into this folder
+    #[arg(long, value_name = "FOLDER", requires = "measure")]
+    out: Option<PathBuf>,
     /// One member breaks a rule on purpose, to see that it is found
     #[arg(long, value_name = "FLAW")]
     flaw: Option<String>,
