--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -4,13 +4,15 @@
 //! Packets and time go in, packets and events come out: after each call of a `handle_` method, take what there is with
 //! [`View::poll_packet`] and [`View::poll_event`], and call again at [`View::next_timer`].
 
+use crate::by_number::ByNumber;
 use crate::envelope::{BODY_MOST, Room, Unreadable, open, seal};
 use crate::health::Health;
 use crate::member::{Identity, Life, MEMBERS_MOST, Name, Number, Numbers, State};
 use crate::pace;
-use crate::sync::{BUCKETS, Summary, Sums, Talk, bucket, encode, pack};
+use crate::sync::{Summary, Sums, Talk, encode, pack};
 use crate::table::{Entry, Table};
 use crate::timers::Timers;
+use bytes::{Buf, BufMut};
 use foca::{Codec, Foca, Identity as _, Member, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -28,6 +30,8 @@
 const PACKETS_MOST: usize = 1_024;
 /// Events that wait to be taken. Past it the oldest is dropped and counted.
 const EVENTS_MOST: usize = 8_192;
+/// How the membership protocol writes how many updates follow a header.
+const UPDATE_COUNT_BYTES: usize = size_of::<u16>();
 
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
@@ -197,12 +201,12 @@
     /// while this member is itself unwell and asks less often.
     window: Cell<Duration>,
     /// The identity that spoke last under each number, and when.
-    heard: RefCell<BTreeMap<Number, (Identity, Duration)>>,
+    heard: RefCell<ByNumber<(Identity, Duration)>>,
     /// Whose packet was read last: what one says of itself needs no second ear.
     speaker: RefCell<Option<Identity>>,
     /// Whom others call gone while this one has just heard it.
     doubted: RefCell<BTreeMap<Number, Member<Identity>>>,
-    /// Whom anything was said of since the table was last brought up to date.
+    /// Of whom the membership protocol may hold something else than the table.
     named: RefCell<Numbers>,
 }
 
@@ -210,24 +214,22 @@
     fn hear(&self, who: &Identity) {
         let mut heard = self.heard.borrow_mut();
         // A packet of an earlier turn is an old one.
-        if heard.get(&who.number).is_none_or(|(known, _)| !known.win_addr_conflict(who)) {
+        if heard.get(who.number).is_none_or(|(known, _)| !known.win_addr_conflict(who)) {
             heard.insert(who.number, (who.clone(), self.now.get()));
         }
-        self.named.borrow_mut().add(who.number);
         *self.speaker.borrow_mut() = Some(who.clone());
     }
 
     /// Whether this one was heard within the time that others must have waited for it in vain.
     fn lately(&self, who: &Identity) -> bool {
         let heard = self.heard.borrow();
-        let at = heard.get(&who.number).filter(|(identity, _)| identity == who).map(|(_, at)| *at);
+        let at = heard.get(who.number).filter(|(identity, _)| identity == who).map(|(_, at)| *at);
         at.is_some_and(|at| self.now.get().saturating_sub(at) < self.window.get())
     }
 
     /// What to believe of what others say: a death that this member's own ears contradict is a suspicion for now, so that
     /// neither the end of a partition nor one who is wrong makes everybody flap.
     fn weigh(&self, said: Member<Identity>) -> Member<Identity> {
-        self.named.borrow_mut().add(said.id().number);
         let leaves = self.speaker.borrow().as_ref() == Some(said.id());
         if said.state() != foca::State::Down || leaves || !self.lately(said.id()) {
             return said;
@@ -241,8 +243,9 @@
     fn proved(&self) -> Vec<Member<Identity>> {
         let mut proved = Vec::new();
         self.doubted.borrow_mut().retain(|number, said| {
-            let at =
-                |who: &Identity| self.heard.borrow().get(number).filter(|(i, _)| i == who).map(|(_, at)| *at);
+            let at = |who: &Identity| {
+                self.heard.borrow().get(*number).filter(|(i, _)| i == who).map(|(_, at)| *at)
+            };
             match at(said.id()) {
                 // Another life or turn has spoken since: the death was that of the one before.
                 None => false,
@@ -308,10 +311,25 @@
     }
 }
 
+/// Somebody to be looked for.
+enum Absent<'a> {
+    NeverMet(Number, SocketAddr),
+    Dead(&'a Identity),
+}
+
+impl Absent<'_> {
+    fn identity(self) -> Identity {
+        match self {
+            Absent::NeverMet(number, address) => Identity::unknown(number, address),
+            Absent::Dead(identity) => identity.clone(),
+        }
+    }
+}
+
 /// What the membership protocol wants done.
 #[derive(Default)]
 struct Wants {
-    sends: Vec<(Identity, Vec<u8>)>,
+    sends: Vec<(SocketAddr, Vec<u8>)>,
     timers: Vec<(Timer<Identity>, Duration)>,
     called_gone: bool,
 }
@@ -322,7 +340,7 @@
     }
 
     fn send_to(&mut self, to: Identity, data: &[u8]) {
-        self.sends.push((to, data.to_vec()));
+        self.sends.push((to.address, seal(Room::Swim, data)));
     }
 
     fn submit_after(&mut self, event: Timer<Identity>, after: Duration) {
@@ -455,6 +473,11 @@
         self.table.present() - self.table.alive()
     }
 
+    /// How many updates wait to be passed on by gossip.
+    pub fn gossip_backlog(&self) -> usize {
+        self.swim.updates_backlog()
+    }
+
     /// What it has counted.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -558,9 +581,10 @@
     }
 
     fn take_swim(&mut self, now: Duration, from: SocketAddr, body: &[u8]) -> Result<(), Dropped> {
-        let header = self.words.decode_header(body).map_err(|_| Unreadable::UnknownWords)?;
-        let (sender, meant) = (header.src, header.dst);
-        if sender.address != from || !self.words.fits(&sender) || sender.number == self.me().number {
+        let mut updates = body;
+        let header = self.words.decode_header(&mut updates).map_err(|_| Unreadable::UnknownWords)?;
+        let (sender, meant) = (&header.src, &header.dst);
+        if sender.address != from || !self.words.fits(sender) || sender.number == self.me().number {
             return Err(Dropped::Stranger);
         }
         if let Some(known) =
@@ -570,10 +594,12 @@
             self.say(from, &Talk::Higher { number: sender.number, life: known });
             return Err(Dropped::EarlierLife);
         }
-        self.ears.hear(&sender);
+        self.ears.hear(sender);
+        self.note(&Member::new(sender.clone(), header.src_incarnation, foca::State::Alive));
+        let news = self.without_known_updates(&header, body, updates);
         let mut read = true;
         self.swim(now, |swim, wants| {
-            let handled = swim.handle_data(body, wants);
+            let handled = swim.handle_data(news.as_deref().unwrap_or(body), wants);
             read = !matches!(handled, Err(foca::Error::Decode(_) | foca::Error::MalformedPacket));
             handled
         });
@@ -581,7 +607,7 @@
             return Err(Unreadable::UnknownWords.into());
         }
         let me = self.me().clone();
-        if meant.number == me.number && meant != me {
+        if meant.number == me.number && *meant != me {
             // The membership protocol reads nothing that was meant for an earlier identity. Whoever has not heard of the present
             // one hears it now; a suspicion must not be told for such a packet, since nothing in it was believed, and the
             // contradiction would come back the same way, for ever.
@@ -591,14 +617,54 @@
         // Whoever is suspected hears so at once from all that it talks to, and can contradict.
         self.refresh(now);
         let suspected =
-            self.table.get(sender.number).is_some_and(|e| e.state == State::Suspect && e.identity == sender);
-        let suspect = suspected.then(|| self.swim.iter_members().find(|m| m.id() == &sender).cloned());
+            self.table.get(sender.number).is_some_and(|e| e.state == State::Suspect && e.identity == *sender);
+        let suspect = suspected.then(|| self.swim.iter_members().find(|m| m.id() == sender).cloned());
         if let Some(suspect) = suspect.flatten() {
             self.say(from, &Talk::Records(vec![suspect]));
         }
         Ok(())
     }
 
+    /// Takes note of an update that the membership protocol is given; false if it can't change anything.
+    fn note(&self, update: &Member<Identity>) -> bool {
+        let number = update.id().number;
+        let could = number == self.me().number || self.table.could_change(update);
+        if could {
+            self.ears.named.borrow_mut().add(number);
+        }
+        could
+    }
+
+    /// A packet's body without the updates that can't change anything, if there are any such. `updates` is what follows the
+    /// header. The membership protocol would search all its members for each of them, and do nothing.
+    fn without_known_updates(
+        &mut self,
+        header: &foca::Header<Identity>,
+        body: &[u8],
+        mut updates: &[u8],
+    ) -> Option<Vec<u8>> {
+        let reads_updates = !matches!(header.message, foca::Message::Announce | foca::Message::Broadcast);
+        if updates.len() < UPDATE_COUNT_BYTES || !reads_updates || header.dst != *self.me() {
+            return None;
+        }
+        let mut pruned = body[..body.len() - updates.len()].to_vec();
+        let count_at = pruned.len();
+        let count = updates.get_u16();
+        pruned.put_u16(0);
+        let mut kept: u16 = 0;
+        for _ in 0..count {
+            // What can't be read is for the membership protocol to refuse.
+            let update = self.words.decode_member(&mut updates).ok()?;
+            if self.note(&update) {
+                self.words.encode_member(&update, &mut pruned).ok()?;
+                kept += 1;
+            }
+        }
+        pruned.extend_from_slice(updates);
+        pruned[count_at..count_at + UPDATE_COUNT_BYTES].copy_from_slice(&kept.to_be_bytes());
+        (kept < count).then_some(pruned)
+    }
+
     fn take_talk(&mut self, now: Duration, from: SocketAddr, talk: Talk) {
         match talk {
             Talk::Ask { sums, back } => self.compare(now, from, &sums, back),
@@ -606,7 +672,8 @@
             Talk::Records(records) => {
                 self.ears.speaker.replace(None);
                 let records = records.into_iter().filter(|r| self.words.fits(r.id()));
-                let records: Vec<_> = records.map(|r| self.ears.weigh(r)).collect();
+                let records = records.map(|r| self.ears.weigh(r));
+                let records: Vec<_> = records.filter(|r| self.note(r)).collect();
                 self.swim(now, |swim, wants| swim.apply_many(records.into_iter(), false, wants));
             }
             Talk::Higher { number, life } if number == self.me().number && life > self.me().life => {
@@ -629,7 +696,7 @@
             }
             return;
         }
-        for talk in pack(self.records(unlike)) {
+        for talk in self.records(unlike) {
             self.say(from, &talk);
         }
         if !back {
@@ -640,24 +707,15 @@
         }
     }
 
-    /// What it knows of the members in these parts: part by part, since one that has come whole is not sent again, in any order
-    /// and from anywhere in each, since what does not fit this time is to be another piece the next time.
-    fn records(&mut self, mut parts: Vec<usize>) -> Vec<Member<Identity>> {
+    /// What it knows of the members in these parts, as much as one answer holds: part by part, since one that has come whole is
+    /// not sent again, in any order and from anywhere in each, since what does not fit this time is to be another piece the next
+    /// time. The table must be up to date.
+    fn records(&mut self, mut parts: Vec<usize>) -> Vec<Talk> {
         parts.shuffle(&mut self.random);
-        let me = self.me().number;
-        let mut of_parts: Vec<Vec<&Member<Identity>>> = vec![Vec::new(); BUCKETS];
-        for member in self.swim.iter_membership_state().filter(|m| m.id().number != me) {
-            of_parts[bucket(member.id().number)].push(member);
-        }
-        let mut records = Vec::new();
-        for part in parts {
-            let of_part = &mut of_parts[part];
-            of_part.sort_unstable_by_key(|m| m.id().number);
-            let first = self.random.random_range(0..of_part.len().max(1));
-            of_part.rotate_left(first);
-            records.extend(of_part.iter().map(|m| (*m).clone()));
-        }
-        records
+        let first = |part: &usize| self.random.random_range(0..self.table.part_size(*part).max(1));
+        let firsts: Vec<usize> = parts.iter().map(first).collect();
+        let parts = parts.into_iter().zip(firsts);
+        pack(parts.flat_map(|(part, first)| self.table.records_of_part(part, first)))
     }
 
     // ---- time ---------------------------------------------------------------------------------------
@@ -725,9 +783,10 @@
         let me = self.me().number;
         let configured = self.peers.iter().zip(0..).map(|(address, n)| (Number(n), *address));
         let never_met = configured.filter(|(n, _)| *n != me && self.table.get(*n).is_none());
-        let never_met = never_met.map(|(number, address)| Identity::unknown(number, address));
-        let gone = self.table.lines().filter(|e| e.state == State::Gone).map(|e| e.identity.clone());
+        let never_met = never_met.map(|(number, address)| Absent::NeverMet(number, address));
+        let gone = self.table.lines().filter(|e| e.state == State::Gone).map(|e| Absent::Dead(&e.identity));
         let absent = never_met.chain(gone).sample(&mut self.random, pace::SEEK_AT_ONCE);
+        let absent: Vec<Identity> = absent.into_iter().map(Absent::identity).collect();
         for identity in absent {
             self.swim(now, |swim, wants| swim.announce(identity, wants));
         }
@@ -788,8 +847,8 @@
         let mut wants = Wants::default();
         // Its errors are packets that make no sense to it; what it wanted until then holds.
         let _ = act(&mut self.swim, &mut wants);
-        for (to, data) in wants.sends {
-            self.send(to.address, seal(Room::Swim, &data));
+        for (to, packet) in wants.sends {
+            self.send(to, packet);
         }
         for (timer, after) in wants.timers {
             let after = match timer {
@@ -838,10 +897,10 @@
 
     /// Brings the table up to what the membership protocol holds, and tells what has changed.
     fn refresh(&mut self, now: Duration) {
-        let named = self.ears.named.take();
-        if named.is_none() {
+        if self.ears.named.borrow().is_none() {
             return;
         }
+        let named = self.ears.named.take();
         let me = self.me().number;
         let mut own_higher = None;
         let mut changes = Vec::new();
@@ -857,7 +916,10 @@
                 foca::State::Down => State::Gone,
             };
             let before = self.table.get(identity.number);
-            if before.is_some_and(|e| e.state == state && &e.identity == identity) {
+            let incarnation = member.incarnation();
+            let same =
+                |e: &Entry| e.state == state && e.incarnation == incarnation && &e.identity == identity;
+            if before.is_some_and(same) {
                 continue;
             }
             if let Some(change) = change(before, identity, state) {
@@ -867,7 +929,7 @@
                 Some(e) if e.state == state && e.identity.life == identity.life => e.since,
                 _ => now,
             };
-            self.table.set(Entry { identity: identity.clone(), state, since });
+            self.table.set(Entry { identity: identity.clone(), state, incarnation, since });
         }
         // By number, so that equal histories tell equal stories.
         changes.sort_by_key(|(_, identity)| identity.number);
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -11,5 +11,6 @@
 pub mod measurements;
 pub mod number;
 pub mod page;
+pub mod provenance;
 pub mod row;
 pub mod target;
