lab: `measure`, commands that take the costs of one real agent by size

The capacity page needs slopes from committed measurements.

The stand-in for discovery counts the bytes of its answers, and an agent of the lab tells its process id.

No figures are in this commit.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
 mod fleet_command;
+mod measure_command;
 
 use clap::{Args, Parser, Subcommand};
 use dilljunction_lab::clock::Clock;
@@ -89,6 +90,8 @@
     },
     /// Many agents that know of one another, with faults between them: judged, exit status 0 only if every rule held
     Fleet(FleetArguments),
+    /// Measure one real agent over several sizes of one driver, and write the file that the capacity model reads
+    Measure(measure_command::MeasureArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -225,6 +228,7 @@
         }
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
+        Some(Task::Measure(arguments)) => measure_command::run(arguments).await,
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -8,6 +8,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::future::pending;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -186,6 +187,8 @@
     /// How often all calls that were out fell silent.
     silences: watch::Sender<u64>,
     asked: watch::Sender<Vec<String>>,
+    /// Bytes of all whole answers.
+    sent: AtomicU64,
     place: Mutex<(SocketAddr, AbortHandle)>,
 }
 
@@ -219,6 +222,7 @@
             changed: watch::Sender::new(0),
             silences: watch::Sender::new(0),
             asked: watch::Sender::default(),
+            sent: AtomicU64::new(0),
             place: Mutex::new((address, nothing)),
         }));
         view.listen(listener, address);
@@ -240,6 +244,11 @@
         self.0.asked.subscribe()
     }
 
+    /// How many bytes of answers have been written, heads and bodies.
+    pub fn bytes_sent(&self) -> u64 {
+        self.0.sent.load(Ordering::Relaxed)
+    }
+
     /// Fails from now on, or no more.
     pub fn ail(&self, ailment: Ailment) {
         let mut health = locked(&self.0.health);
@@ -320,6 +329,7 @@
             if output.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
+            self.0.sent.fetch_add(text.len() as u64, Ordering::Relaxed);
             let (at, agent) = (self.0.clock.now(), self.0.agent);
             let told = told.into_iter().map(|(server, word)| Told { agent, server, word, at });
             self.0.book.open().told.extend(told);
@@ -461,6 +471,7 @@
             View::start(5, registry.clone(), endpoints, listen, Clock::start(), book.clone()).await.unwrap();
         let list = "/registry/instances";
         let whole = ask(view.address(), list).await;
+        assert_eq!(view.bytes_sent(), whole.len() as u64);
         assert!(
             whole.contains(r#""rev":3,"all":true"#) && whole.contains("s0") && whole.contains("s1"),
             "{whole}"
--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -281,6 +281,12 @@
         }
     }
 
+    /// The process that clients reach; none for one in this process.
+    pub fn process_id(&self) -> Option<u32> {
+        let Running::Program(child) = &self.running else { return None };
+        child.id()
+    }
+
     /// What the machine says of its processes, together; nothing for one in this process.
     pub fn usage(&self) -> Option<Usage> {
         let Running::Program(child) = &self.running else { return None };
