--- a/lab/src/measure/attempts.rs
+++ b/lab/src/measure/attempts.rs
@@ -17,8 +17,16 @@
 const SECONDS: f64 = 20.0;
 /// How many times slower a slow server works.
 const SLOWER: f64 = 10.0;
-const QUANTITIES: [Quantity; 2] =
-    [Quantity::new("attempts-slow", "1/call"), Quantity::new("attempts-gone", "1/call")];
+/// How long the first moment of a trouble lasts, in virtual seconds: agents have not learnt of it yet.
+const FIRST: f64 = 1.0;
+const QUANTITIES: [Quantity; 6] = [
+    Quantity::new("attempts-slow", "1/call"),
+    Quantity::new("attempts-gone", "1/call"),
+    Quantity::new("attempts-hung", "1/call"),
+    Quantity::new("attempts-slow-first-second", "1/call"),
+    Quantity::new("attempts-gone-first-second", "1/call"),
+    Quantity::new("attempts-hung-first-second", "1/call"),
+];
 
 /// What servers in trouble do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +35,12 @@
     Slow,
     /// They are dead.
     Gone,
+    /// They take requests and say nothing.
+    Hung,
+}
+
+impl Trouble {
+    const ALL: [Trouble; 3] = [Trouble::Slow, Trouble::Gone, Trouble::Hung];
 }
 
 /// Takes the measurement.
@@ -36,12 +50,13 @@
     let series = sweep
         .take(&QUANTITIES, async |repeat, size| {
             let seed = repeat as u64 + 1;
-            let slow = attempts_per_call(Trouble::Slow, size, seed, seconds)?;
-            let gone = attempts_per_call(Trouble::Gone, size, seed, seconds)?;
+            let of = |(trouble, seconds)| attempts_per_call(trouble, size, seed, seconds);
+            let runs = [seconds, FIRST].into_iter().flat_map(|s| Trouble::ALL.map(|trouble| (trouble, s)));
+            let values = runs.map(of).collect::<Result<Vec<f64>, String>>()?;
             if setup.tell {
-                eprintln!("attempts: {size}% in trouble, seed {seed}: slow {slow:.4}, gone {gone:.4}");
+                eprintln!("attempts: {size}% in trouble, seed {seed}: {values:.4?}");
             }
-            Ok(vec![slow, gone])
+            Ok(values)
         })
         .await?;
     Ok(Findings {
@@ -50,7 +65,8 @@
         series,
         notes: vec![
             format!("{AGENTS} agents, {SERVERS} servers, {RATE} calls a second (4 tenths of what they can do), {seconds} s"),
-            format!("slow: servers work {SLOWER} times slower; gone: they are dead and the list never says so"),
+            format!("slow: servers work {SLOWER} times slower; gone: dead, and the list never says so; hung: take requests and say nothing"),
+            format!("first-second: only {FIRST} s from the beginning of the trouble, when agents know nothing of it"),
             "repeats are seeds; clients' own retries count as calls, since the tier before makes them".into(),
             format!("the worst case that these settings allow is maxAttempts = {} at each tier", max_attempts()?),
         ],
@@ -82,6 +98,7 @@
     let (kind, factor) = match trouble {
         Trouble::Slow => ("slow", format!("factor = {SLOWER}\n")),
         Trouble::Gone => ("crash", String::new()),
+        Trouble::Hung => ("hang", String::new()),
     };
     // Longer than the run: agents must find out by themselves.
     let list_late = seconds * 10.0;
--- a/lab/src/measure/attempts/tests.rs
+++ b/lab/src/measure/attempts/tests.rs
@@ -4,11 +4,13 @@
 fn a_sound_tier_makes_about_one_attempt_for_a_call_and_a_troubled_one_more_within_the_settings() {
     let sound = attempts_per_call(Trouble::Gone, 0.0, 1, 2.0).expect("a run");
     let gone = attempts_per_call(Trouble::Gone, 50.0, 1, 2.0).expect("a run");
+    let hung = attempts_per_call(Trouble::Hung, 50.0, 1, 2.0).expect("a run");
     let slow = attempts_per_call(Trouble::Slow, 50.0, 1, 2.0).expect("a run");
     let most = f64::from(max_attempts().expect("stated"));
     assert!((0.9..1.2).contains(&sound), "{sound}");
     assert!(gone > sound && gone <= most, "{sound} {gone} {most}");
     assert!(slow > sound && slow <= most, "{sound} {slow} {most}");
+    assert!(hung > sound && hung <= most, "{sound} {hung} {most}");
     assert_eq!(gone, attempts_per_call(Trouble::Gone, 50.0, 1, 2.0).expect("a run"), "a seed gives the same");
 }
 
--- a/lab/src/measure/restarts.rs
+++ b/lab/src/measure/restarts.rs
@@ -31,8 +31,9 @@
     let series = sweep
         .take(&QUANTITIES, async |repeat, size| {
             let seed = repeat as u64 + 1;
-            let cold = restart(setup, &servers, (size as usize, seed), false, counted).await?;
-            let with_list = restart(setup, &servers, (size as usize, seed), true, counted).await?;
+            let start = |list| restart(setup, &servers, (size as usize, seed), list, counted);
+            let (cold, with_list) = tokio::join!(start(false), start(true));
+            let (cold, with_list) = (cold?, with_list?);
             if setup.tell {
                 eprintln!("discovery-restarts: {size}: {cold:?}, with a list {with_list:?}");
             }
@@ -52,6 +53,7 @@
             ),
             "calls and bytes: agents that know no list; with-list: their configuration holds the present one"
                 .into(),
+            "both groups start at one moment, each at a discovery of its own".into(),
             "a restart is a new process with nothing of the old one, which is all that discovery sees of it"
                 .into(),
         ],
@@ -74,6 +76,8 @@
         let told = Told { list, seed: seed * 1000 + number as u64, ..Told::default() };
         starts.spawn(async move {
             let (setup, registry, view): &(Setup, Registry, View) = &shared;
+            // Their files are named after their numbers.
+            let number = number + if list { agents } else { 0 };
             subject::start((&setup.program, &setup.folder), number, (registry, view), &told).await
         });
     }
