--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity_command;
 mod fleet_command;
+mod measure_command;
 
 use clap::{Args, Parser, Subcommand};
 use dilljunction_lab::clock::Clock;
@@ -92,6 +93,8 @@
     Fleet(FleetArguments),
     /// Write docs/CAPACITY.md from its template, the committed measurements and the target
     Capacity(capacity_command::CapacityArguments),
+    /// Measure one real agent over several sizes of one driver, and write the file that the capacity model reads
+    Measure(measure_command::MeasureArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -244,6 +247,7 @@
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
         Some(Task::Capacity(arguments)) => capacity_command::run(&arguments),
+        Some(Task::Measure(arguments)) => measure_command::run(arguments).await,
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
