Hollow agents: the control parts of an agent without its data path, as a library type

Scale tests need more agents than a machine has room for processes. The start of what carries no request (balancer, watch on the list, view of the fleet, operators' address) moves from agent.rs into control.rs, which a whole agent and a hollow one share; a hollow one opens no listener for clients and runs no timer of the balancer.

Shown by agent/tests/hollow.rs: five hollow agents settle on one view and call a dropped one gone; one watches the list from version to version.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -1,29 +1,21 @@
 //! One agent, whole: started from its configuration, serving until it is told to stop.
 
-use crate::budget::Budget;
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::control::{length, listen, task, Control, ControlConfig, Core, Task};
 use crate::driver::Driver;
-use crate::fronts::admin;
 use crate::fronts::plain::intake::{Catalogue, Class};
 use crate::fronts::plain::server::Server;
-use crate::lifecycle::{LifeCycle, Phase};
+use crate::lifecycle::Phase;
 use crate::list::Commands;
-use crate::log::{log, log_events};
-use crate::peers::Peers;
+use crate::log::log;
 use crate::share::file::{Holds, Share};
-use crate::sources::freshness::Terms;
-use crate::sources::platform;
-use crate::upstream::backend::Backends;
-use crate::upstream::pool::Pool;
-use ryelead::{ReportSource, Settings, Span};
 use std::future::{pending, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
 /// How often it is looked whether a stop is over.
@@ -31,82 +23,39 @@
 /// How long a process that stops accepts what has come to its listening socket by then.
 const QUEUE_WAIT: Duration = Duration::from_millis(10);
 
-fn length(span: Span) -> Duration {
-    Duration::from_micros(span.0)
-}
-
-/// A task that ends with the agent.
-struct Task(AbortHandle);
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-fn task(work: impl Future<Output = ()> + 'static) -> Task {
-    Task(spawn_local(work).abort_handle())
-}
-
 /// An agent that listens. It lives on the thread and the [`tokio::task::LocalSet`] on which it was started; when it is
 /// dropped it stops at once.
 pub struct Agent {
     server: Rc<Server>,
     listener: TcpListener,
     address: SocketAddr,
-    admin: Option<SocketAddr>,
     clients: Rc<Clients>,
     commands: Rc<Commands>,
     /// The platform holds the listening socket: another process goes on with the address.
     inherited: bool,
-    /// The other agents.
-    peers: Option<Rc<Peers>>,
+    control: Control,
     _tasks: Vec<Task>,
 }
 
 impl Agent {
     /// Starts an agent; must be called on a [`tokio::task::LocalSet`]. Fails if the configuration can't be decided by
     /// or its address can't be listened on.
-    pub async fn start(config: Config) -> Result<Agent, String> {
+    pub async fn start(mut config: Config) -> Result<Agent, String> {
+        let inherited = config.listener.is_some();
+        let core = Core::new(&mut config)?;
+        let (driver, clients) = (core.driver.clone(), Rc::clone(&core.clients));
         let file = &config.settings;
-        // The protocol lets every refusal say when to come back.
-        let settings = Settings { retry_after: true, ..file.settings() };
-        let classes = file.class_names().into_iter().zip(&settings.classes);
+        let classes = file.class_names().into_iter().zip(&core.settings.classes);
         let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
-        let classes = classes.collect();
-        let longest = length(settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
-        let terms = Terms::of(&settings);
-        let bodies = Budget::new(config.body_bytes);
-        let pool = Pool::new(
-            config.backend_connections,
-            length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
-            length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
-        );
-        let backends = Backends::new(
-            pool,
-            Rc::clone(&bodies),
-            file.report_names().to_vec(),
-            settings.report_source != ReportSource::None,
-        );
-        let commands = Commands::new(config.discovery);
-        let names = (file.zone_names(), file.kind_names());
-        let version = config.known.as_ref().map_or(0, |list| list.rev);
-        let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
-        let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-        let inherited = config.listener.is_some();
-        let life = LifeCycle::new(inherited, longest);
-        let clients = Rc::new(Clients::new(life, driver.clone()));
+        let bodies = Rc::clone(&core.bodies);
+        let catalogue = Catalogue { classes: classes.collect(), tenants: file.tenant_names(), bodies };
         let room = (config.client_connections, config.client_crowd);
         let server = Server::new(driver.clone(), Rc::clone(&clients), catalogue, room);
         let tally = config.tally_every.map(|every| {
             driver.tally().switch_on();
             task(driver.clone().tell_tally(every))
         });
-        let mut tasks = vec![
-            task(driver.clone().run()),
-            task(platform::run(driver.clone(), Rc::clone(&commands), version, terms, config.seed)),
-            task(Rc::clone(&server).sweep()),
-        ];
+        let mut tasks = vec![task(driver.clone().run()), task(Rc::clone(&server).sweep())];
         tasks.extend(tally);
         let listener = match config.listener {
             Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("cannot listen: {e}"))?,
@@ -125,20 +74,18 @@
             share.step(&connections);
             tasks.push(task(share.run(connections)));
         }
-        let mut peers = None;
-        if let Some(config) = config.peers {
-            log_events(config.json());
-            let (started, run) = Peers::start(config, driver, inherited).await?;
-            tasks.push(task(run));
-            peers = Some(started);
-        }
-        let mut admin = None;
-        if let Some(at) = config.admin {
-            let door = listen(at).await.map_err(|e| format!("admin: {e}"))?;
-            admin = door.local_addr().ok();
-            tasks.push(task(admin::run(door, Rc::clone(&clients), peers.as_ref().map(Rc::clone))));
-        }
-        Ok(Agent { server, listener, address, admin, clients, commands, inherited, peers, _tasks: tasks })
+        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited };
+        let control = Control::start(&core, told).await?;
+        Ok(Agent {
+            server,
+            listener,
+            address,
+            clients,
+            commands: core.commands,
+            inherited,
+            control,
+            _tasks: tasks,
+        })
     }
 
     /// Where clients connect.
@@ -148,7 +95,7 @@
 
     /// Where operators call, if they do.
     pub fn admin(&self) -> Option<SocketAddr> {
-        self.admin
+        self.control.admin
     }
 
     /// What moves this agent to another address of discovery while it serves.
@@ -164,7 +111,7 @@
     /// Serves until `stop` comes, then answers what it has taken and ends: within 0.9 s if nothing is owed (1.4 s where
     /// the platform holds the socket), and 0.6 s over the longest deadline of a class at the latest.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
-        let Agent { server, listener, clients, inherited, peers, _tasks, .. } = self;
+        let Agent { server, listener, clients, inherited, control, _tasks, .. } = self;
         let mut listener = Some(listener);
         let mut stop = pin!(stop);
         let mut stopped = false;
@@ -183,7 +130,7 @@
                 () = clients.changed() => {}
                 () = stop.as_mut(), if !stopped => {
                     clients.stop();
-                    if let Some(peers) = &peers {
+                    if let Some(peers) = &control.peers {
                         peers.stop(inherited);
                     }
                     stopped = true;
@@ -225,7 +172,3 @@
         matches!(self.clients.phase(), Phase::Stopping(_) | Phase::HandingOver(_))
     }
 }
-
-async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
-}
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::allowance::Allowance;
 use crate::driver::Driver;
 use crate::fault::Fault;
+use crate::hollow::FleetSummary;
 use crate::log::log;
 use crate::switches::{FleetTable, TrialTable};
 use crate::tally::Count;
@@ -145,6 +146,8 @@
     clock: Clock,
     view: RefCell<View>,
     driver: Driver,
+    /// Where it listens, once it does.
+    address: Cell<Option<SocketAddr>>,
     told: Cell<Option<usize>>,
     ended: Cell<bool>,
     end: Notify,
@@ -170,7 +173,8 @@
         };
         let view = View::new(config.setup(clock.unix_ms()), clock.now()).map_err(|e| e.to_string())?;
         let (view, told, ended) = (RefCell::new(view), Cell::new(None), Cell::new(false));
-        let peers = Rc::new(Peers { config, clock, view, driver, told, ended, end: Notify::new() });
+        let address = Cell::new(socket.as_ref().and_then(|socket| socket.local_addr().ok()));
+        let peers = Rc::new(Peers { config, clock, view, driver, address, told, ended, end: Notify::new() });
         let run = Rc::clone(&peers).run(socket);
         Ok((peers, run))
     }
@@ -188,6 +192,7 @@
             }
         };
         if let Ok(address) = socket.local_addr() {
+            self.address.set(Some(address));
             log(&format!("other agents reach this one at {address}"));
         }
         let mut allowance = Allowance::new(SEND_BURST, SEND_PER_SECOND, std::time::Instant::now());
@@ -268,6 +273,18 @@
         self.end.notify_one();
     }
 
+    /// Where other agents reach this one; nothing while another process of this agent holds the address.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.address.get()
+    }
+
+    /// What the view comes to, without its members.
+    pub fn summary(&self) -> FleetSummary {
+        let view = self.view.borrow();
+        let (life, digest) = (u64::from(view.me().life), view.digest());
+        FleetSummary { life, digest, sure: view.is_sure(self.clock.now()), present: view.size() }
+    }
+
     /// The view, as operators read it.
     pub fn describe(&self) -> serde_json::Value {
         let (view, now) = (self.view.borrow(), self.clock.now());
