Switch: regions and zones between members, traffic counted for each, senders found by an index

The topology is data (fleet/topology.rs); without one the network does what it did. The switch looked for a packet's sender through all members; it has an index by address now. What the platform tells an agent of a fleet is built in one function, for hollow agents too.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -14,3 +14,4 @@
 pub mod shrink;
 pub mod simulate;
 pub mod switch;
+pub mod topology;
--- a/lab/src/fleet/net.rs
+++ b/lab/src/fleet/net.rs
@@ -2,6 +2,7 @@
 //! one.
 
 use crate::fleet::plan::{Fault, Kind};
+use crate::fleet::topology::Topology;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
     pub flooding: Vec<usize>,
     /// What it took in, in packets and bytes.
     pub carried: (u64, u64),
+    /// Where members stand, if that matters.
+    pub topology: Option<Topology>,
 }
 
 impl Net {
@@ -49,7 +52,18 @@
         let random = fastrand::Rng::with_seed(seed);
         let (active, first, last) = (Vec::new(), Vec::new(), VecDeque::new());
         let (sent, flooding) = (vec![0; agents], Vec::new());
-        Net { agents, active, first, last, random, sent, second: 0, flooding, carried: (0, 0) }
+        Net {
+            agents,
+            active,
+            first,
+            last,
+            random,
+            sent,
+            second: 0,
+            flooding,
+            carried: (0, 0),
+            topology: None,
+        }
     }
 
     /// A fault begins; what comes at once because of it.
@@ -94,7 +108,12 @@
         if !self.passes(packet.from, packet.to, now) {
             return Vec::new();
         }
+        let link = self.topology.map(|topology| topology.link(packet.from, packet.to));
         let Net { active, random, .. } = self;
+        if link.is_some_and(|link| link.loss > 0.0 && random.f64() < link.loss) {
+            return Vec::new();
+        }
+        let way = link.map_or(0.0, |link| link.latency.as_secs_f64() * 1e3);
         let mut chance = |kind: Kind| {
             let of_kind = active.iter().filter(|(_, f, _)| f.kind == kind);
             of_kind.fold(false, |hit, (_, f, _)| (random.f64() < f.amount) || hit)
@@ -107,7 +126,7 @@
         let delays = active.iter().filter(|(_, f, _)| f.kind == Kind::Delay).map(|(_, f, _)| f.amount);
         let slow = delays.fold(0.0, f64::max);
         let mut late = || {
-            let mut ms = slow * (0.5 + 0.5 * random.f64());
+            let mut ms = way + slow * (0.5 + 0.5 * random.f64());
             if overtaken {
                 ms += OVERTAKEN_MS.start + (OVERTAKEN_MS.end - OVERTAKEN_MS.start) * random.f64();
             }
@@ -196,6 +215,17 @@
         assert_eq!(net.carry(&packet(0, 1), 0.0), [Duration::ZERO]);
     }
 
+    #[test]
+    fn where_members_stand_packets_take_their_way_and_few_get_lost_between_regions() {
+        let mut net = Net::new(160, 1);
+        net.topology = Some(Topology::new(160));
+        assert_eq!(net.carry(&packet(0, 1), 0.0), [Duration::from_micros(300)]);
+        let far = (0..100_000).filter(|i| net.carry(&packet(0, 80), f64::from(*i)).is_empty()).count();
+        assert!((50..150).contains(&far), "{far} of 100,000 lost between regions");
+        let near = (0..10_000).filter(|i| net.carry(&packet(0, 1), f64::from(*i)).is_empty()).count();
+        assert_eq!(near, 0);
+    }
+
     #[test]
     fn whoever_sends_too_much_in_a_second_is_noted_once() {
         let mut net = Net::new(3, 1);
--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -35,10 +35,38 @@
     pub peers: Vec<SocketAddr>,
     /// Whom of them each knows at its start.
     pub knows: Knows,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
     /// For the agents' random numbers.
     pub seed: u64,
 }
 
+/// Any free port.
+pub const ANY: &str = "127.0.0.1:0";
+
+impl Ground {
+    /// What the platform tells agent `number` at its `starts`th start in this run; clients' connections go to `listen`, and
+    /// datagrams to `peer_listen`.
+    pub fn configuration(
+        &self,
+        number: usize,
+        starts: usize,
+        listen: &str,
+        peer_listen: &str,
+    ) -> serde_json::Value {
+        // A list that names somebody, so that the agent is ready; nobody asks it for anything.
+        let known = json!({"rev": 1, "all": true, "targets": [{"uid": "s", "endpoint": "127.0.0.1:9", "state": "SERVING"}]});
+        let seed = self.seed ^ ((number as u64) << 32) ^ starts as u64;
+        json!({
+            "name": format!("n{number}"), "listen": listen, "admin": ANY, "discovery": self.discovery,
+            "seed": format!("{seed:x}"), "known": known,
+            "peer_listen": peer_listen, "peers": self.knows.of(number, &self.peers),
+            "settings": {"slotNo": number, "balancers": self.peers.len(), "discovery": "on_request", "limits": {"peers": true},
+                "classes": [{"name": "read", "effect": "idempotent", "aimMs": 200, "deadlineMs": 400, "points": 1}]}
+        })
+    }
+}
+
 /// A process of an agent.
 pub struct Process {
     child: Child,
@@ -63,20 +91,12 @@
     ) -> Result<Process, String> {
         let name = format!("agent-{number}-{starts}");
         let of = |e: &dyn std::fmt::Display| format!("{name}: {e}");
-        let any = "127.0.0.1:0".to_string();
         let listen = match listener {
             Some(listener) => listener.local_addr().map_err(|e| of(&e))?.to_string(),
-            None => any.clone(),
+            None => ANY.to_string(),
         };
-        // A list that names somebody, so that the agent is ready; nobody asks it for anything.
-        let known = json!({"rev": 1, "all": true, "targets": [{"uid": "s", "endpoint": "127.0.0.1:9", "state": "SERVING"}]});
-        let config = json!({
-            "name": format!("n{number}"), "listen": listen, "admin": any, "discovery": "127.0.0.1:9",
-            "seed": format!("{:x}", ground.seed ^ ((number as u64) << 32) ^ starts as u64), "known": known,
-            "peer_listen": peers_at.map_or(any, |at| at.to_string()), "peers": ground.knows.of(number, &ground.peers),
-            "settings": {"slotNo": number, "balancers": ground.peers.len(), "discovery": "on_request", "limits": {"peers": true},
-                "classes": [{"name": "read", "effect": "idempotent", "aimMs": 200, "deadlineMs": 400, "points": 1}]}
-        });
+        let peer_listen = peers_at.map_or(ANY.to_string(), |at| at.to_string());
+        let config = ground.configuration(number, starts, &listen, &peer_listen);
         let write = |file: &str, text: String| {
             let path = ground.folder.join(file);
             std::fs::write(&path, text).map(|()| path).map_err(|e| of(&e))
@@ -136,6 +156,11 @@
         !matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Its process number, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// What the machine says of it.
     pub fn usage(&self) -> Option<Usage> {
         usage(self.child.id()?)
--- a/lab/src/fleet/rig.rs
+++ b/lab/src/fleet/rig.rs
@@ -140,7 +140,10 @@
             .map_err(|e| format!("{}: {e}", fleet_file.display()))?;
         let switch = Arc::new(Switch::start(plan.agents, plan.seed, flaw).await?);
         let peers = switch.addresses()?;
-        let ground = Ground { program, fleet_file, folder, peers, knows: plan.knows, seed: plan.seed };
+        // Nobody listens there: these agents are asked for nothing, and need no list but their first.
+        let discovery = SocketAddr::from(([127, 0, 0, 1], 9));
+        let (knows, seed) = (plan.knows, plan.seed);
+        let ground = Ground { program, fleet_file, folder, peers, knows, discovery, seed };
         let mut slots = Vec::new();
         for m in 0..plan.agents {
             // Where a new process comes beside the old one the platform holds the clients' socket.
--- a/lab/src/fleet/switch.rs
+++ b/lab/src/fleet/switch.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::flaw::{Broken, Flaw, BROKEN};
 use crate::fleet::net::{Net, Packet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -17,11 +18,58 @@
 /// Larger than any datagram that an agent may send, so that one that is too long is carried on as it is.
 const DATAGRAM_MOST: usize = 2_048;
 
+/// What the switch has carried for one member, in packets and bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Packets that came from it.
+    pub packets_out: u64,
+    /// Their bytes.
+    pub bytes_out: u64,
+    /// Packets that were handed on to it.
+    pub packets_in: u64,
+    /// Their bytes.
+    pub bytes_in: u64,
+}
+
+/// Where members listen at present, by number and by address, and what was carried for each.
+struct Members {
+    addresses: Vec<Option<SocketAddr>>,
+    numbers: HashMap<SocketAddr, usize>,
+    traffic: Vec<Traffic>,
+}
+
+impl Members {
+    fn place(&mut self, member: usize, address: SocketAddr) {
+        if let Some(old) = self.addresses[member].replace(address) {
+            // Another member may have got that address since.
+            if self.numbers.get(&old) == Some(&member) {
+                self.numbers.remove(&old);
+            }
+        }
+        self.numbers.insert(address, member);
+    }
+
+    /// The member that has sent so many bytes from there.
+    fn sent(&mut self, source: SocketAddr, bytes: usize) -> Option<usize> {
+        let from = *self.numbers.get(&source)?;
+        self.traffic[from].packets_out += 1;
+        self.traffic[from].bytes_out += bytes as u64;
+        Some(from)
+    }
+
+    /// Where a member listens to whom so many bytes are handed on.
+    fn received(&mut self, to: usize, bytes: usize) -> Option<SocketAddr> {
+        let address = self.addresses[to]?;
+        self.traffic[to].packets_in += 1;
+        self.traffic[to].bytes_in += bytes as u64;
+        Some(address)
+    }
+}
+
 struct Inner {
     net: Mutex<Net>,
     publics: Vec<UdpSocket>,
-    /// Where each member listens at present.
-    members: Mutex<Vec<Option<SocketAddr>>>,
+    members: Mutex<Members>,
     /// The one that is broken on purpose: here its packets are changed.
     broken: Mutex<Option<Broken>>,
     start: Instant,
@@ -45,7 +93,8 @@
             publics
                 .push(UdpSocket::bind("127.0.0.1:0").await.map_err(|e| format!("no public address: {e}"))?);
         }
-        let members = Mutex::new(vec![None; agents]);
+        let (addresses, traffic) = (vec![None; agents], vec![Traffic::default(); agents]);
+        let members = Mutex::new(Members { addresses, numbers: HashMap::new(), traffic });
         let (net, broken) = (Mutex::new(Net::new(agents, seed)), Mutex::new(flaw.map(Broken::new)));
         let inner = Arc::new(Inner { net, publics, members, broken, start: Instant::now() });
         let mut tasks = JoinSet::new();
@@ -63,7 +112,12 @@
 
     /// A member listens there from now on.
     pub fn place(&self, member: usize, address: SocketAddr) {
-        lock(&self.inner.members)[member] = Some(address);
+        lock(&self.inner.members).place(member, address);
+    }
+
+    /// What was carried for each member so far.
+    pub fn traffic(&self) -> Vec<Traffic> {
+        lock(&self.inner.members).traffic.clone()
     }
 
     /// What the network does, and has carried.
@@ -100,7 +154,7 @@
 
     async fn hand_on(&self, packet: &Packet) {
         self.broken(packet.to, |broken| broken.hears(&packet.bytes));
-        let to = lock(&self.members)[packet.to];
+        let to = lock(&self.members).received(packet.to, packet.bytes.len());
         if let Some(to) = to {
             // A member that does not listen is no fault of the switch.
             let _ = self.publics[packet.from].send_to(&packet.bytes, to).await;
@@ -113,8 +167,7 @@
     loop {
         // An error is a member's that has gone meanwhile.
         let Ok((length, source)) = inner.publics[to].recv_from(&mut bytes).await else { continue };
-        let from = lock(&inner.members).iter().position(|m| *m == Some(source));
-        let Some(from) = from else { continue };
+        let Some(from) = lock(&inner.members).sent(source, length) else { continue };
         let sent = &bytes[..length];
         let changed = inner.broken(from, |broken| broken.sends(sent.to_vec()));
         let packet = Packet { from, to, bytes: changed.unwrap_or_else(|| sent.to_vec()) };
@@ -147,3 +200,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
