--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
 mod fleet_command;
+mod scale_command;
 
 use clap::{Args, Parser, Subcommand};
 use dilljunction_lab::clock::Clock;
@@ -89,6 +90,8 @@
     },
     /// Many agents that know of one another, with faults between them: judged, exit status 0 only if every rule held
     Fleet(FleetArguments),
+    /// A large fleet of a few real agents and many hollow ones: measured, judged, and set beside what is predicted
+    Scale(ScaleArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -129,6 +132,55 @@
     report: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct ScaleArguments {
+    /// Agents
+    #[arg(long, default_value_t = 100)]
+    members: usize,
+    /// Several sizes in a row, to which lines are fitted, in place of --members
+    #[arg(long, value_delimiter = ',', value_name = "N,N")]
+    sizes: Vec<usize>,
+    /// Sizes that are kept out of the fit
+    #[arg(long, value_delimiter = ',', value_name = "N,N")]
+    held_out: Vec<usize>,
+    /// Agents that are processes of the program
+    #[arg(long, default_value_t = 25)]
+    real: usize,
+    /// What goes wrong: start (nothing), machine, rack, zone, region, restarts, all or short
+    #[arg(long, default_value = "start")]
+    schedule: String,
+    /// How often a fleet that has settled is measured
+    #[arg(long, default_value_t = 3)]
+    repeats: usize,
+    /// How long each time, in seconds
+    #[arg(long, default_value_t = 12.0)]
+    seconds: f64,
+    /// Print what was measured beside what the committed measurements predict
+    #[arg(long)]
+    predict: bool,
+    /// For all random numbers
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// One member breaks a rule on purpose, to see that it is found
+    #[arg(long, value_name = "FLAW")]
+    flaw: Option<String>,
+    /// Write what was measured into scale.json of this folder
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+    /// Write the outcome as JSON as well
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// The agent's program; by default it is built from this repository
+    #[arg(long, value_name = "PROGRAM")]
+    agent: Option<PathBuf>,
+    /// The program that hosts hollow agents; by default it is built from this repository
+    #[arg(long, value_name = "PROGRAM")]
+    hollow: Option<PathBuf>,
+    /// Where configurations and logs of the agents go
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
+}
+
 #[derive(Args, Default)]
 struct Size {
     /// Agents
@@ -225,6 +277,7 @@
         }
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
+        Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
@@ -281,27 +334,32 @@
     if let Some(program) = &choice.agent {
         return Ok(Subject::Program(program.clone(), arguments));
     }
+    Ok(Subject::Program(built("dilljunction")?, arguments))
+}
+
+/// The program of a package of this repository, built beside this one.
+fn built(package: &str) -> Result<PathBuf, String> {
     let here = std::env::current_exe().map_err(|e| e.to_string())?;
     let folder = here.parent().ok_or("the lab's own program has no folder")?;
-    let program = folder.join("dilljunction");
+    let program = folder.join(package);
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     if root.join("Cargo.toml").exists() {
-        eprintln!("building the agent ...");
+        eprintln!("building {package} ...");
         let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
-        cargo.args(["build", "--quiet", "-p", "dilljunction"]).current_dir(&root);
+        cargo.args(["build", "--quiet", "-p", package]).current_dir(&root);
         cargo.arg("--target-dir").arg(folder.parent().unwrap_or(folder));
         if folder.file_name().is_some_and(|name| name == "release") {
             cargo.arg("--release");
         }
         let built = cargo.status().map_err(|e| format!("cannot run cargo: {e}"))?;
         if !built.success() {
-            return Err("the agent does not build".into());
+            return Err(format!("{package} does not build"));
         }
     }
     if !program.exists() {
-        return Err(format!("{}: no such program; name one with --agent", program.display()));
+        return Err(format!("{}: no such program; name one on the command line", program.display()));
     }
-    Ok(Subject::Program(program, arguments))
+    Ok(program)
 }
 
 async fn play(
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,4 +1,16 @@
 //! Fleets that are larger than a machine has room for: a few real agents among many hollow ones, in regions and zones, with
 //! what goes wrong in so many places, judged by the rules of [`crate::fleet::checker`] and measured.
 
+pub mod book;
+pub mod host;
+pub mod machine;
+pub mod measure;
+pub mod needs;
 pub mod protocol;
+pub mod provenance;
+pub mod record;
+pub mod rig;
+pub mod run;
+pub mod schedule;
+pub mod share;
+mod watch;
--- /dev/null
+++ b/lab/src/scale/run.rs
@@ -0,0 +1,88 @@
+//! One run: a fleet starts, settles, is measured, goes through a schedule, and is judged.
+
+use crate::fleet::checker::{judge, Verdict};
+use crate::scale::measure::Window;
+use crate::scale::rig::{Rig, RigFault, Setup};
+use crate::scale::share::Share;
+use serde::Serialize;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// How long a fleet that has settled is left alone before it is measured: what it still says of its start is over then.
+const CALM: Duration = Duration::from_secs(3);
+
+/// What a run has shown.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Outcome {
+    /// The schedule.
+    pub schedule: String,
+    /// Agents.
+    pub members: usize,
+    /// Those of them that were real.
+    pub real: usize,
+    /// How long it took to start all processes and agents, in seconds.
+    pub started: f64,
+    /// How long all took from then on to settle on one view, in seconds.
+    pub settled: f64,
+    /// What was measured while nothing went wrong.
+    pub windows: Vec<Window>,
+    /// What the rig took while the schedule was played.
+    pub played: Option<Share>,
+    /// The judgement.
+    pub verdict: Verdict,
+    /// Whether the run says anything of the agents.
+    pub counts: bool,
+    /// Why it does not.
+    pub bottleneck: Option<String>,
+}
+
+impl Outcome {
+    /// True if the run counts and every rule held.
+    pub fn passed(&self) -> bool {
+        self.counts && self.verdict.kept()
+    }
+}
+
+/// Makes a run with so many measurements of such a length; `tell` hears how far it is.
+pub async fn run(
+    setup: Setup,
+    windows: usize,
+    length: Duration,
+    mut tell: impl FnMut(&str),
+) -> Result<Outcome, RigFault> {
+    let (plan, real, bounds) = (setup.plan.clone(), setup.real, setup.bounds);
+    let mut rig = Rig::new(setup).await?;
+    let begin = Instant::now();
+    rig.start_all().await?;
+    let started = begin.elapsed().as_secs_f64();
+    tell(&format!("{} agents started in {started:.1} s", plan.agents));
+    let settled = rig.settle().await?.as_secs_f64();
+    tell(&format!("one view after {settled:.1} s more"));
+    let mut measured = Vec::new();
+    if windows > 0 {
+        rig.rest(true).await;
+        sleep(CALM).await;
+        for number in 1..=windows {
+            measured.push(rig.measure(length).await?);
+            tell(&format!("measured {number} of {windows}"));
+        }
+        rig.rest(false).await;
+    }
+    let played = if plan.fault.is_empty() { None } else { Some(rig.play().await?) };
+    tell("judging");
+    let verdict = judge(&plan, &rig.end());
+    let shares = measured.iter().map(|window| &window.rig).chain(&played);
+    let bottleneck = shares.filter_map(|share| share.bottleneck(&bounds)).next();
+    Ok(Outcome {
+        schedule: plan.name,
+        members: plan.agents,
+        real,
+        started,
+        settled,
+        windows: measured,
+        played,
+        verdict,
+        counts: bottleneck.is_none(),
+        bottleneck,
+    })
+}
