Fleet view: no pass over all members for a packet that says what is known

Cause, by perf on virtual time at 800 members (125 s of CPU, trial build without LTO): the cost of a packet grows with the members, from 7 us at 100 to 50 us at 800. The largest shares: the membership protocol's search for each update (13%), the pass over all its members after each packet in View::refresh (12%), its backlog of gossip (heap 8%), the ordered map of the table (5%).

The table now holds the incarnation too, and so tells whether an update could change anything. An update that can't is not given to the membership protocol, and no pass follows. The table is a vector by number, the drawn absent are cloned only once drawn, a packet is sealed without a copy.

A new test gives random histories to foca and to the table: what is left out must change nothing.

--- a/cluster/src/member.rs
+++ b/cluster/src/member.rs
@@ -181,30 +181,34 @@
 
 /// A set of numbers.
 #[derive(Debug, Clone)]
-pub struct Numbers([u64; MEMBERS_MOST as usize / 64]);
+pub struct Numbers {
+    words: [u64; MEMBERS_MOST as usize / 64],
+    is_empty: bool,
+}
 
 impl Default for Numbers {
     fn default() -> Numbers {
-        Numbers([0; MEMBERS_MOST as usize / 64])
+        Numbers { words: [0; MEMBERS_MOST as usize / 64], is_empty: true }
     }
 }
 
 impl Numbers {
     /// One more. A number that no member may have is left out.
     pub fn add(&mut self, number: Number) {
-        if let Some(word) = self.0.get_mut(usize::from(number.0) / 64) {
+        if let Some(word) = self.words.get_mut(usize::from(number.0) / 64) {
             *word |= 1 << (number.0 % 64);
+            self.is_empty = false;
         }
     }
 
     /// Whether it holds this one.
     pub fn holds(&self, number: Number) -> bool {
-        self.0.get(usize::from(number.0) / 64).is_some_and(|word| word & (1 << (number.0 % 64)) != 0)
+        self.words.get(usize::from(number.0) / 64).is_some_and(|word| word & (1 << (number.0 % 64)) != 0)
     }
 
     /// Whether it holds none.
     pub fn is_none(&self) -> bool {
-        self.0.iter().all(|word| *word == 0)
+        self.is_empty
     }
 }
 
--- a/cluster/src/table.rs
+++ b/cluster/src/table.rs
@@ -1,9 +1,10 @@
 //! All others that a view has ever heard of, and what is asked of them for each packet: how many there are, which address
 //! belongs to whom, the checksums. These are kept as lines change, and not counted anew for each packet.
 
-use crate::member::{Identity, Number, State};
+use crate::member::{Identity, MEMBERS_MOST, Number, State};
 use crate::sync::Summary;
-use std::collections::{BTreeMap, HashMap};
+use foca::{Identity as _, Incarnation, Member};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
     pub identity: Identity,
     /// How it is.
     pub state: State,
+    /// How often it has refuted a suspicion in this life, as the membership protocol counts it.
+    pub incarnation: Incarnation,
     /// Since when, by the view's clock.
     pub since: Duration,
 }
@@ -21,7 +24,9 @@
 /// The lines of a view but its own.
 #[derive(Debug, Default)]
 pub struct Table {
-    lines: BTreeMap<Number, Entry>,
+    /// By number, up to the highest that is known; at most [`MEMBERS_MOST`].
+    entries: Vec<Option<Entry>>,
+    known: usize,
     /// How many lines name an address.
     addresses: HashMap<SocketAddr, usize>,
     alive: usize,
@@ -32,12 +37,12 @@
 impl Table {
     /// What is known of a number.
     pub fn get(&self, number: Number) -> Option<&Entry> {
-        self.lines.get(&number)
+        self.entries.get(usize::from(number.0))?.as_ref()
     }
 
     /// All, by number.
     pub fn lines(&self) -> impl Iterator<Item = &Entry> {
-        self.lines.values()
+        self.entries.iter().flatten()
     }
 
     /// How many are there and not even suspected.
@@ -47,17 +52,18 @@
 
     /// How many are not gone.
     pub fn present(&self) -> usize {
-        self.lines.len() - self.gone
+        self.known - self.gone
     }
 
     /// The highest number of a line.
     pub fn highest(&self) -> Option<Number> {
-        self.lines.last_key_value().map(|(number, _)| *number)
+        self.entries.last()?.as_ref().map(|entry| entry.identity.number)
     }
 
     /// How many have this number or a higher one.
     pub fn from(&self, number: Number) -> usize {
-        self.lines.range(number..).count()
+        let from = self.entries.get(usize::from(number.0)..).unwrap_or_default();
+        from.iter().flatten().count()
     }
 
     /// Whether a line names this address.
@@ -70,10 +76,35 @@
         self.summary
     }
 
-    /// A line that is new, or in place of the one with its number.
+    /// Whether the membership protocol, which holds what this table holds, could take anything new from an update: false
+    /// only if it can't. It searches all its members for each update that it is given, and most updates say what is known.
+    pub fn could_change(&self, update: &Member<Identity>) -> bool {
+        let Some(known) = self.get(update.id().number) else { return true };
+        if known.identity != *update.id() {
+            return !known.identity.win_addr_conflict(update.id());
+        }
+        match (known.state, update.state()) {
+            // Dead is dead, until a later identity.
+            (State::Gone, _) => false,
+            (_, foca::State::Down) => true,
+            (State::Alive, foca::State::Suspect) => update.incarnation() >= known.incarnation,
+            (State::Alive | State::Suspect, _) => update.incarnation() > known.incarnation,
+        }
+    }
+
+    /// A line that is new, or in place of the one with its number. A number out of bounds is left out.
     pub fn set(&mut self, entry: Entry) {
         let number = entry.identity.number;
-        if let Some(before) = self.lines.remove(&number) {
+        if number.0 >= MEMBERS_MOST {
+            return;
+        }
+        let place = usize::from(number.0);
+        if place >= self.entries.len() {
+            self.entries.resize(place + 1, None);
+        }
+        self.known += 1;
+        if let Some(before) = self.entries[place].take() {
+            self.known -= 1;
             self.count(&before, |n| n.wrapping_sub(1));
             if let Some(named) = self.addresses.get_mut(&before.identity.address) {
                 *named -= 1;
@@ -84,7 +115,7 @@
         }
         self.count(&entry, |n| n.wrapping_add(1));
         *self.addresses.entry(entry.identity.address).or_default() += 1;
-        self.lines.insert(number, entry);
+        self.entries[place] = Some(entry);
     }
 
     fn count(&mut self, entry: &Entry, step: impl Fn(usize) -> usize) {
@@ -116,7 +147,7 @@
             let state = [State::Alive, State::Suspect, State::Gone][random.random_range(0..3)];
             let life = Life::from_unix_ms(random.random_range(1..5));
             let identity = Identity { number, life, turn: step % 3, address, name: Name::default() };
-            table.set(Entry { identity, state, since: Duration::ZERO });
+            table.set(Entry { identity, state, incarnation: 0, since: Duration::ZERO });
             let mut summary = Summary::default();
             table.lines().for_each(|e| summary.add(&e.identity, e.state == State::Gone));
             let of = |state: State| table.lines().filter(|e| e.state == state).count();
@@ -133,4 +164,68 @@
         assert_eq!(table.from(Number(0)), 40);
         assert_eq!(table.from(Number(39)), 1);
     }
+
+    /// What the membership protocol holds, as comparable lines.
+    fn held(
+        swim: &foca::Foca<Identity, foca::PostcardCodec, SmallRng, foca::NoCustomBroadcast>,
+    ) -> Vec<String> {
+        swim.iter_membership_state().map(|member| format!("{member:?}")).collect()
+    }
+
+    /// An update that is left out because of the table must be one that the membership protocol does nothing with.
+    #[test]
+    fn an_update_that_could_change_nothing_changes_nothing() {
+        let mut random = SmallRng::seed_from_u64(11);
+        let (mut left_out, mut changed) = (0, 0);
+        for history in 0..40 {
+            let identity = |number: u16, unix_ms, turn, port| {
+                let address = SocketAddr::from(([10, 0, 0, 1], port));
+                Identity {
+                    number: Number(number),
+                    life: Life::from_unix_ms(unix_ms),
+                    turn,
+                    address,
+                    name: Name::default(),
+                }
+            };
+            let me = identity(99, 1, 0, 99);
+            let own_random = SmallRng::seed_from_u64(history);
+            let mut swim = foca::Foca::new(me, foca::Config::simple(), own_random, foca::PostcardCodec);
+            let mut table = Table::default();
+            for _ in 0..400 {
+                let number = random.random_range(0..6);
+                let who = identity(
+                    number,
+                    random.random_range(1..3),
+                    random.random_range(0..2),
+                    random.random_range(1..3),
+                );
+                let state =
+                    [foca::State::Alive, foca::State::Suspect, foca::State::Down][random.random_range(0..3)];
+                let update = Member::new(who, random.random_range(0..3), state);
+                let before = (held(&swim), swim.updates_backlog());
+                let could_change = table.could_change(&update);
+                let mut runtime = foca::AccumulatingRuntime::new();
+                swim.apply_many([update.clone()].into_iter(), true, &mut runtime).unwrap();
+                let did_change = before.0 != held(&swim);
+                assert!(could_change || !did_change, "{update:?} was left out and changes {:?}", before.0);
+                if !could_change {
+                    assert_eq!(before.1, swim.updates_backlog(), "{update:?}");
+                    assert!(runtime.to_notify().is_none() && runtime.to_send().is_none(), "{update:?}");
+                }
+                left_out += u32::from(!could_change);
+                changed += u32::from(did_change);
+                for member in swim.iter_membership_state() {
+                    let state = match member.state() {
+                        foca::State::Alive => State::Alive,
+                        foca::State::Suspect => State::Suspect,
+                        foca::State::Down => State::Gone,
+                    };
+                    let (identity, incarnation) = (member.id().clone(), member.incarnation());
+                    table.set(Entry { identity, state, incarnation, since: Duration::ZERO });
+                }
+            }
+        }
+        assert!(left_out > 1_000 && changed > 500, "{left_out} left out, {changed} changed");
+    }
 }
--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -11,6 +11,7 @@
 use crate::sync::{BUCKETS, Summary, Sums, Talk, bucket, encode, pack};
 use crate::table::{Entry, Table};
 use crate::timers::Timers;
+use bytes::{Buf, BufMut};
 use foca::{Codec, Foca, Identity as _, Member, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -28,6 +29,8 @@
 const PACKETS_MOST: usize = 1_024;
 /// Events that wait to be taken. Past it the oldest is dropped and counted.
 const EVENTS_MOST: usize = 8_192;
+/// How the membership protocol writes how many updates follow a header.
+const UPDATE_COUNT_BYTES: usize = size_of::<u16>();
 
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
@@ -202,7 +205,7 @@
     speaker: RefCell<Option<Identity>>,
     /// Whom others call gone while this one has just heard it.
     doubted: RefCell<BTreeMap<Number, Member<Identity>>>,
-    /// Whom anything was said of since the table was last brought up to date.
+    /// Of whom the membership protocol may hold something else than the table.
     named: RefCell<Numbers>,
 }
 
@@ -213,7 +216,6 @@
         if heard.get(&who.number).is_none_or(|(known, _)| !known.win_addr_conflict(who)) {
             heard.insert(who.number, (who.clone(), self.now.get()));
         }
-        self.named.borrow_mut().add(who.number);
         *self.speaker.borrow_mut() = Some(who.clone());
     }
 
@@ -227,7 +229,6 @@
     /// What to believe of what others say: a death that this member's own ears contradict is a suspicion for now, so that
     /// neither the end of a partition nor one who is wrong makes everybody flap.
     fn weigh(&self, said: Member<Identity>) -> Member<Identity> {
-        self.named.borrow_mut().add(said.id().number);
         let leaves = self.speaker.borrow().as_ref() == Some(said.id());
         if said.state() != foca::State::Down || leaves || !self.lately(said.id()) {
             return said;
@@ -308,10 +309,25 @@
     }
 }
 
+/// Somebody to be looked for.
+enum Absent<'a> {
+    NeverMet(Number, SocketAddr),
+    Dead(&'a Identity),
+}
+
+impl Absent<'_> {
+    fn identity(self) -> Identity {
+        match self {
+            Absent::NeverMet(number, address) => Identity::unknown(number, address),
+            Absent::Dead(identity) => identity.clone(),
+        }
+    }
+}
+
 /// What the membership protocol wants done.
 #[derive(Default)]
 struct Wants {
-    sends: Vec<(Identity, Vec<u8>)>,
+    sends: Vec<(SocketAddr, Vec<u8>)>,
     timers: Vec<(Timer<Identity>, Duration)>,
     called_gone: bool,
 }
@@ -322,7 +338,7 @@
     }
 
     fn send_to(&mut self, to: Identity, data: &[u8]) {
-        self.sends.push((to, data.to_vec()));
+        self.sends.push((to.address, seal(Room::Swim, data)));
     }
 
     fn submit_after(&mut self, event: Timer<Identity>, after: Duration) {
@@ -558,9 +574,10 @@
     }
 
     fn take_swim(&mut self, now: Duration, from: SocketAddr, body: &[u8]) -> Result<(), Dropped> {
-        let header = self.words.decode_header(body).map_err(|_| Unreadable::UnknownWords)?;
-        let (sender, meant) = (header.src, header.dst);
-        if sender.address != from || !self.words.fits(&sender) || sender.number == self.me().number {
+        let mut updates = body;
+        let header = self.words.decode_header(&mut updates).map_err(|_| Unreadable::UnknownWords)?;
+        let (sender, meant) = (&header.src, &header.dst);
+        if sender.address != from || !self.words.fits(sender) || sender.number == self.me().number {
             return Err(Dropped::Stranger);
         }
         if let Some(known) =
@@ -570,10 +587,12 @@
             self.say(from, &Talk::Higher { number: sender.number, life: known });
             return Err(Dropped::EarlierLife);
         }
-        self.ears.hear(&sender);
+        self.ears.hear(sender);
+        self.note(&Member::new(sender.clone(), header.src_incarnation, foca::State::Alive));
+        let news = self.without_known_updates(&header, body, updates);
         let mut read = true;
         self.swim(now, |swim, wants| {
-            let handled = swim.handle_data(body, wants);
+            let handled = swim.handle_data(news.as_deref().unwrap_or(body), wants);
             read = !matches!(handled, Err(foca::Error::Decode(_) | foca::Error::MalformedPacket));
             handled
         });
@@ -581,7 +600,7 @@
             return Err(Unreadable::UnknownWords.into());
         }
         let me = self.me().clone();
-        if meant.number == me.number && meant != me {
+        if meant.number == me.number && *meant != me {
             // The membership protocol reads nothing that was meant for an earlier identity. Whoever has not heard of the present
             // one hears it now; a suspicion must not be told for such a packet, since nothing in it was believed, and the
             // contradiction would come back the same way, for ever.
@@ -591,14 +610,54 @@
         // Whoever is suspected hears so at once from all that it talks to, and can contradict.
         self.refresh(now);
         let suspected =
-            self.table.get(sender.number).is_some_and(|e| e.state == State::Suspect && e.identity == sender);
-        let suspect = suspected.then(|| self.swim.iter_members().find(|m| m.id() == &sender).cloned());
+            self.table.get(sender.number).is_some_and(|e| e.state == State::Suspect && e.identity == *sender);
+        let suspect = suspected.then(|| self.swim.iter_members().find(|m| m.id() == sender).cloned());
         if let Some(suspect) = suspect.flatten() {
             self.say(from, &Talk::Records(vec![suspect]));
         }
         Ok(())
     }
 
+    /// Takes note of an update that the membership protocol is given; false if it can't change anything.
+    fn note(&self, update: &Member<Identity>) -> bool {
+        let number = update.id().number;
+        let could = number == self.me().number || self.table.could_change(update);
+        if could {
+            self.ears.named.borrow_mut().add(number);
+        }
+        could
+    }
+
+    /// A packet's body without the updates that can't change anything, if there are any such. `updates` is what follows the
+    /// header. The membership protocol would search all its members for each of them, and do nothing.
+    fn without_known_updates(
+        &mut self,
+        header: &foca::Header<Identity>,
+        body: &[u8],
+        mut updates: &[u8],
+    ) -> Option<Vec<u8>> {
+        let reads_updates = !matches!(header.message, foca::Message::Announce | foca::Message::Broadcast);
+        if updates.len() < UPDATE_COUNT_BYTES || !reads_updates || header.dst != *self.me() {
+            return None;
+        }
+        let mut pruned = body[..body.len() - updates.len()].to_vec();
+        let count_at = pruned.len();
+        let count = updates.get_u16();
+        pruned.put_u16(0);
+        let mut kept: u16 = 0;
+        for _ in 0..count {
+            // What can't be read is for the membership protocol to refuse.
+            let update = self.words.decode_member(&mut updates).ok()?;
+            if self.note(&update) {
+                self.words.encode_member(&update, &mut pruned).ok()?;
+                kept += 1;
+            }
+        }
+        pruned.extend_from_slice(updates);
+        pruned[count_at..count_at + UPDATE_COUNT_BYTES].copy_from_slice(&kept.to_be_bytes());
+        (kept < count).then_some(pruned)
+    }
+
     fn take_talk(&mut self, now: Duration, from: SocketAddr, talk: Talk) {
         match talk {
             Talk::Ask { sums, back } => self.compare(now, from, &sums, back),
@@ -606,7 +665,8 @@
             Talk::Records(records) => {
                 self.ears.speaker.replace(None);
                 let records = records.into_iter().filter(|r| self.words.fits(r.id()));
-                let records: Vec<_> = records.map(|r| self.ears.weigh(r)).collect();
+                let records = records.map(|r| self.ears.weigh(r));
+                let records: Vec<_> = records.filter(|r| self.note(r)).collect();
                 self.swim(now, |swim, wants| swim.apply_many(records.into_iter(), false, wants));
             }
             Talk::Higher { number, life } if number == self.me().number && life > self.me().life => {
@@ -725,9 +785,10 @@
         let me = self.me().number;
         let configured = self.peers.iter().zip(0..).map(|(address, n)| (Number(n), *address));
         let never_met = configured.filter(|(n, _)| *n != me && self.table.get(*n).is_none());
-        let never_met = never_met.map(|(number, address)| Identity::unknown(number, address));
-        let gone = self.table.lines().filter(|e| e.state == State::Gone).map(|e| e.identity.clone());
+        let never_met = never_met.map(|(number, address)| Absent::NeverMet(number, address));
+        let gone = self.table.lines().filter(|e| e.state == State::Gone).map(|e| Absent::Dead(&e.identity));
         let absent = never_met.chain(gone).sample(&mut self.random, pace::SEEK_AT_ONCE);
+        let absent: Vec<Identity> = absent.into_iter().map(Absent::identity).collect();
         for identity in absent {
             self.swim(now, |swim, wants| swim.announce(identity, wants));
         }
@@ -788,8 +849,8 @@
         let mut wants = Wants::default();
         // Its errors are packets that make no sense to it; what it wanted until then holds.
         let _ = act(&mut self.swim, &mut wants);
-        for (to, data) in wants.sends {
-            self.send(to.address, seal(Room::Swim, &data));
+        for (to, packet) in wants.sends {
+            self.send(to, packet);
         }
         for (timer, after) in wants.timers {
             let after = match timer {
@@ -838,10 +899,10 @@
 
     /// Brings the table up to what the membership protocol holds, and tells what has changed.
     fn refresh(&mut self, now: Duration) {
-        let named = self.ears.named.take();
-        if named.is_none() {
+        if self.ears.named.borrow().is_none() {
             return;
         }
+        let named = self.ears.named.take();
         let me = self.me().number;
         let mut own_higher = None;
         let mut changes = Vec::new();
@@ -857,7 +918,10 @@
                 foca::State::Down => State::Gone,
             };
             let before = self.table.get(identity.number);
-            if before.is_some_and(|e| e.state == state && &e.identity == identity) {
+            let incarnation = member.incarnation();
+            let same =
+                |e: &Entry| e.state == state && e.incarnation == incarnation && &e.identity == identity;
+            if before.is_some_and(same) {
                 continue;
             }
             if let Some(change) = change(before, identity, state) {
@@ -867,7 +931,7 @@
                 Some(e) if e.state == state && e.identity.life == identity.life => e.since,
                 _ => now,
             };
-            self.table.set(Entry { identity: identity.clone(), state, since });
+            self.table.set(Entry { identity: identity.clone(), state, incarnation, since });
         }
         // By number, so that equal histories tell equal stories.
         changes.sort_by_key(|(_, identity)| identity.number);
--- a/lab/src/fleet/measure.rs
+++ b/lab/src/fleet/measure.rs
@@ -97,6 +97,7 @@
         sim.act(&plan, Act::End(0));
         settle(&mut sim, 4);
         rows.iter_mut().for_each(|row| row.idle = idle);
+        println!("seed {} digest {:016x} packets {}", seed + run, sim.net().digest(), sim.net().carried.0);
     }
     rows
 }
--- a/lab/src/fleet/net.rs
+++ b/lab/src/fleet/net.rs
@@ -3,7 +3,9 @@
 
 use crate::fleet::plan::{Fault, Kind};
 use crate::fleet::topology::Topology;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 /// Packets that are kept for being replayed: the first ones since the beginning, and the latest.
@@ -44,6 +46,8 @@
     pub carried: (u64, u64),
     /// Where members stand, if that matters.
     pub topology: Option<Topology>,
+    /// Every packet that it took in, with its time, see [`Net::digest`].
+    trace: DefaultHasher,
 }
 
 impl Net {
@@ -52,6 +56,7 @@
         let random = fastrand::Rng::with_seed(seed);
         let (active, first, last) = (Vec::new(), Vec::new(), VecDeque::new());
         let (sent, flooding) = (vec![0; agents], Vec::new());
+        let trace = DefaultHasher::new();
         Net {
             agents,
             active,
@@ -63,9 +68,16 @@
             flooding,
             carried: (0, 0),
             topology: None,
+            trace,
         }
     }
 
+    /// A digest of every packet so far: its time, sender, receiver and bytes. A change of the members' code that leaves it
+    /// alone has left their behavior alone. Only equal builds give comparable digests.
+    pub fn digest(&self) -> u64 {
+        self.trace.finish()
+    }
+
     /// A fault begins; what comes at once because of it.
     pub fn begin(&mut self, number: usize, fault: &Fault, now: f64) -> Vec<Packet> {
         self.active.push((number, fault.clone(), now));
@@ -84,6 +96,7 @@
     /// The copies of a packet that arrive, each by how much later.
     pub fn carry(&mut self, packet: &Packet, now: f64) -> Vec<Duration> {
         self.carried.0 += 1;
+        (now.to_bits(), packet.from, packet.to, &packet.bytes).hash(&mut self.trace);
         if self.second != now as u64 {
             self.second = now as u64;
             self.sent.fill(0);
