Fleet view: names in place, direct lookup by number, records from the table

A Name is held in place (24 bytes, Copy); its bytes on the wire and its order are those of its text, as a test shows. ByNumber is a vector by number with the bound of MEMBERS_MOST, for the table and for whom a member has heard. The records of an answer come from the table, part by part, and no more than fit. The same random numbers are drawn.

--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -35,6 +35,7 @@
 //! assert_eq!(a.members(now).len(), 2);
 //! ```
 
+pub mod by_number;
 pub mod envelope;
 pub mod health;
 pub mod member;
--- a/cluster/src/member.rs
+++ b/cluster/src/member.rs
@@ -1,9 +1,9 @@
 //! Who a member is: its number, its name, and which of its lives this is.
 
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// Members that a view holds at most, and so the bound on numbers: the memory of a view is bounded by it, whatever comes
 /// on the network.
@@ -82,34 +82,62 @@
     }
 }
 
-/// What people call a member, at most [`NAME_MOST`] bytes.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub struct Name(Arc<str>);
+/// What people call a member, at most [`NAME_MOST`] bytes. It is held in place: a view reads and compares the names of several
+/// members for each packet, and a pointer for each would cost an allocation and a cache miss.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Name {
+    /// Its text and zeros; compares as the text does.
+    bytes: [u8; NAME_MOST],
+    length: u8,
+}
 
 impl Name {
     /// A name; fails if it is too long.
     pub fn new(text: &str) -> Result<Name, OutOfBounds> {
-        if text.len() <= NAME_MOST { Ok(Name(text.into())) } else { Err(OutOfBounds) }
+        let mut name = Name::default();
+        let place = name.bytes.get_mut(..text.len()).ok_or(OutOfBounds)?;
+        place.copy_from_slice(text.as_bytes());
+        name.length = text.len() as u8;
+        Ok(name)
     }
 
     /// Its text.
     pub fn as_str(&self) -> &str {
-        &self.0
+        // It was made of a text, and so is one.
+        std::str::from_utf8(&self.bytes[..usize::from(self.length)]).unwrap_or_default()
     }
 }
 
-impl From<Name> for String {
-    fn from(name: Name) -> String {
-        name.as_str().into()
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Name").field(&self.as_str()).finish()
     }
 }
 
-impl TryFrom<String> for Name {
-    type Error = OutOfBounds;
+impl Serialize for Name {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(self.as_str())
+    }
+}
+
+impl<'de> Deserialize<'de> for Name {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Name, D::Error> {
+        from.deserialize_str(NameText)
+    }
+}
 
-    fn try_from(text: String) -> Result<Name, OutOfBounds> {
-        Name::new(&text)
+/// Reads the text of a [`Name`].
+struct NameText;
+
+impl Visitor<'_> for NameText {
+    type Value = Name;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a name of at most {NAME_MOST} bytes")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Name, E> {
+        Name::new(text).map_err(E::custom)
     }
 }
 
@@ -232,6 +260,21 @@
         assert_eq!(identity(5, u32::MAX).renew(), None);
     }
 
+    #[test]
+    fn names_are_written_read_and_ordered_as_their_texts() {
+        let texts = ["", "a", "a\0", "a\0b", "ab", "b", "\u{fc}", "a-name-of-twenty-four-by"];
+        for text in texts {
+            let name = Name::new(text).unwrap();
+            let written = postcard::to_allocvec(&name).unwrap();
+            assert_eq!((name.as_str(), &written), (text, &postcard::to_allocvec(text).unwrap()));
+            assert_eq!(postcard::from_bytes::<Name>(&written), Ok(name));
+            for other in texts {
+                assert_eq!(name.cmp(&Name::new(other).unwrap()), text.cmp(other), "{text:?} {other:?}");
+            }
+        }
+        assert_eq!(Name::new("a-name-of-twenty-five-byt"), Err(OutOfBounds));
+    }
+
     #[test]
     fn nothing_beyond_the_bounds_is_read() {
         assert!(postcard::from_bytes::<Number>(&postcard::to_allocvec(&MEMBERS_MOST).unwrap()).is_err());
--- a/cluster/src/table.rs
+++ b/cluster/src/table.rs
@@ -1,8 +1,9 @@
 //! All others that a view has ever heard of, and what is asked of them for each packet: how many there are, which address
 //! belongs to whom, the checksums. These are kept as lines change, and not counted anew for each packet.
 
+use crate::by_number::ByNumber;
 use crate::member::{Identity, MEMBERS_MOST, Number, State};
-use crate::sync::Summary;
+use crate::sync::{BUCKETS, Summary, bucket};
 use foca::{Identity as _, Incarnation, Member};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,28 +22,40 @@
     pub since: Duration,
 }
 
+impl Entry {
+    /// The same, as the membership protocol holds it.
+    fn record(&self) -> Member<Identity> {
+        let state = match self.state {
+            State::Alive => foca::State::Alive,
+            State::Suspect => foca::State::Suspect,
+            State::Gone => foca::State::Down,
+        };
+        Member::new(self.identity.clone(), self.incarnation, state)
+    }
+}
+
 /// The lines of a view but its own.
 #[derive(Debug, Default)]
 pub struct Table {
-    /// By number, up to the highest that is known; at most [`MEMBERS_MOST`].
-    entries: Vec<Option<Entry>>,
-    known: usize,
+    entries: ByNumber<Entry>,
     /// How many lines name an address.
     addresses: HashMap<SocketAddr, usize>,
     alive: usize,
     gone: usize,
+    /// How many entries each part of the view has.
+    part_sizes: [usize; BUCKETS],
     summary: Summary,
 }
 
 impl Table {
     /// What is known of a number.
     pub fn get(&self, number: Number) -> Option<&Entry> {
-        self.entries.get(usize::from(number.0))?.as_ref()
+        self.entries.get(number)
     }
 
     /// All, by number.
     pub fn lines(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.iter().flatten()
+        self.entries.values()
     }
 
     /// How many are there and not even suspected.
@@ -52,18 +65,17 @@
 
     /// How many are not gone.
     pub fn present(&self) -> usize {
-        self.known - self.gone
+        self.entries.len() - self.gone
     }
 
     /// The highest number of a line.
     pub fn highest(&self) -> Option<Number> {
-        self.entries.last()?.as_ref().map(|entry| entry.identity.number)
+        self.entries.last().map(|entry| entry.identity.number)
     }
 
     /// How many have this number or a higher one.
     pub fn from(&self, number: Number) -> usize {
-        let from = self.entries.get(usize::from(number.0)..).unwrap_or_default();
-        from.iter().flatten().count()
+        self.entries.values_from(number).count()
     }
 
     /// Whether a line names this address.
@@ -76,6 +88,18 @@
         self.summary
     }
 
+    /// How many entries a part of the view has.
+    pub fn part_size(&self, part: usize) -> usize {
+        self.part_sizes.get(part).copied().unwrap_or(0)
+    }
+
+    /// What the membership protocol holds of the members of a part: by number, from the one at this place on and then those
+    /// before it.
+    pub fn records_of_part(&self, part: usize, first: usize) -> impl Iterator<Item = Member<Identity>> {
+        let of_part = move || self.entries.values_by_step(Number(part as u16), BUCKETS);
+        of_part().skip(first).chain(of_part().take(first)).map(Entry::record)
+    }
+
     /// Whether the membership protocol, which holds what this table holds, could take anything new from an update: false
     /// only if it can't. It searches all its members for each update that it is given, and most updates say what is known.
     pub fn could_change(&self, update: &Member<Identity>) -> bool {
@@ -92,30 +116,25 @@
         }
     }
 
-    /// A line that is new, or in place of the one with its number. A number out of bounds is left out.
+    /// An entry that is new, or in place of the one with its number. A number out of bounds is left out.
     pub fn set(&mut self, entry: Entry) {
-        let number = entry.identity.number;
-        if number.0 >= MEMBERS_MOST {
+        if entry.identity.number.0 >= MEMBERS_MOST {
             return;
         }
-        let place = usize::from(number.0);
-        if place >= self.entries.len() {
-            self.entries.resize(place + 1, None);
-        }
-        self.known += 1;
-        if let Some(before) = self.entries[place].take() {
-            self.known -= 1;
-            self.count(&before, |n| n.wrapping_sub(1));
-            if let Some(named) = self.addresses.get_mut(&before.identity.address) {
-                *named -= 1;
-                if *named == 0 {
-                    self.addresses.remove(&before.identity.address);
-                }
-            }
-        }
         self.count(&entry, |n| n.wrapping_add(1));
         *self.addresses.entry(entry.identity.address).or_default() += 1;
-        self.entries[place] = Some(entry);
+        let part = bucket(entry.identity.number);
+        let Some(before) = self.entries.insert(entry.identity.number, entry) else {
+            self.part_sizes[part] += 1;
+            return;
+        };
+        self.count(&before, |n| n.wrapping_sub(1));
+        if let Some(named) = self.addresses.get_mut(&before.identity.address) {
+            *named -= 1;
+            if *named == 0 {
+                self.addresses.remove(&before.identity.address);
+            }
+        }
     }
 
     fn count(&mut self, entry: &Entry, step: impl Fn(usize) -> usize) {
@@ -155,6 +174,13 @@
             assert_eq!(table.summary().sums(), summary.sums(), "step {step}");
             assert_eq!(table.alive(), of(State::Alive), "step {step}");
             assert_eq!(table.present(), of(State::Alive) + of(State::Suspect), "step {step}");
+            let part = bucket(number);
+            let of_part = table.lines().filter(|e| bucket(e.identity.number) == part);
+            let mut records: Vec<_> = of_part.map(Entry::record).collect();
+            assert_eq!(table.part_size(part), records.len(), "step {step}");
+            let first = random.random_range(0..records.len());
+            records.rotate_left(first);
+            assert!(table.records_of_part(part, first).eq(records), "step {step}");
             let there = table.lines().any(|e| e.identity.address == address);
             assert_eq!(table.is_at(address), there, "step {step}");
             let port = random.random_range(1..60);
--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -4,11 +4,12 @@
 //! Packets and time go in, packets and events come out: after each call of a `handle_` method, take what there is with
 //! [`View::poll_packet`] and [`View::poll_event`], and call again at [`View::next_timer`].
 
+use crate::by_number::ByNumber;
 use crate::envelope::{BODY_MOST, Room, Unreadable, open, seal};
 use crate::health::Health;
 use crate::member::{Identity, Life, MEMBERS_MOST, Name, Number, Numbers, State};
 use crate::pace;
-use crate::sync::{BUCKETS, Summary, Sums, Talk, bucket, encode, pack};
+use crate::sync::{Summary, Sums, Talk, encode, pack};
 use crate::table::{Entry, Table};
 use crate::timers::Timers;
 use bytes::{Buf, BufMut};
@@ -200,7 +201,7 @@
     /// while this member is itself unwell and asks less often.
     window: Cell<Duration>,
     /// The identity that spoke last under each number, and when.
-    heard: RefCell<BTreeMap<Number, (Identity, Duration)>>,
+    heard: RefCell<ByNumber<(Identity, Duration)>>,
     /// Whose packet was read last: what one says of itself needs no second ear.
     speaker: RefCell<Option<Identity>>,
     /// Whom others call gone while this one has just heard it.
@@ -213,7 +214,7 @@
     fn hear(&self, who: &Identity) {
         let mut heard = self.heard.borrow_mut();
         // A packet of an earlier turn is an old one.
-        if heard.get(&who.number).is_none_or(|(known, _)| !known.win_addr_conflict(who)) {
+        if heard.get(who.number).is_none_or(|(known, _)| !known.win_addr_conflict(who)) {
             heard.insert(who.number, (who.clone(), self.now.get()));
         }
         *self.speaker.borrow_mut() = Some(who.clone());
@@ -222,7 +223,7 @@
     /// Whether this one was heard within the time that others must have waited for it in vain.
     fn lately(&self, who: &Identity) -> bool {
         let heard = self.heard.borrow();
-        let at = heard.get(&who.number).filter(|(identity, _)| identity == who).map(|(_, at)| *at);
+        let at = heard.get(who.number).filter(|(identity, _)| identity == who).map(|(_, at)| *at);
         at.is_some_and(|at| self.now.get().saturating_sub(at) < self.window.get())
     }
 
@@ -242,8 +243,9 @@
     fn proved(&self) -> Vec<Member<Identity>> {
         let mut proved = Vec::new();
         self.doubted.borrow_mut().retain(|number, said| {
-            let at =
-                |who: &Identity| self.heard.borrow().get(number).filter(|(i, _)| i == who).map(|(_, at)| *at);
+            let at = |who: &Identity| {
+                self.heard.borrow().get(*number).filter(|(i, _)| i == who).map(|(_, at)| *at)
+            };
             match at(said.id()) {
                 // Another life or turn has spoken since: the death was that of the one before.
                 None => false,
@@ -471,6 +473,11 @@
         self.table.present() - self.table.alive()
     }
 
+    /// How many updates wait to be passed on by gossip.
+    pub fn gossip_backlog(&self) -> usize {
+        self.swim.updates_backlog()
+    }
+
     /// What it has counted.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -689,7 +696,7 @@
             }
             return;
         }
-        for talk in pack(self.records(unlike)) {
+        for talk in self.records(unlike) {
             self.say(from, &talk);
         }
         if !back {
@@ -700,24 +707,15 @@
         }
     }
 
-    /// What it knows of the members in these parts: part by part, since one that has come whole is not sent again, in any order
-    /// and from anywhere in each, since what does not fit this time is to be another piece the next time.
-    fn records(&mut self, mut parts: Vec<usize>) -> Vec<Member<Identity>> {
+    /// What it knows of the members in these parts, as much as one answer holds: part by part, since one that has come whole is
+    /// not sent again, in any order and from anywhere in each, since what does not fit this time is to be another piece the next
+    /// time. The table must be up to date.
+    fn records(&mut self, mut parts: Vec<usize>) -> Vec<Talk> {
         parts.shuffle(&mut self.random);
-        let me = self.me().number;
-        let mut of_parts: Vec<Vec<&Member<Identity>>> = vec![Vec::new(); BUCKETS];
-        for member in self.swim.iter_membership_state().filter(|m| m.id().number != me) {
-            of_parts[bucket(member.id().number)].push(member);
-        }
-        let mut records = Vec::new();
-        for part in parts {
-            let of_part = &mut of_parts[part];
-            of_part.sort_unstable_by_key(|m| m.id().number);
-            let first = self.random.random_range(0..of_part.len().max(1));
-            of_part.rotate_left(first);
-            records.extend(of_part.iter().map(|m| (*m).clone()));
-        }
-        records
+        let first = |part: &usize| self.random.random_range(0..self.table.part_size(*part).max(1));
+        let firsts: Vec<usize> = parts.iter().map(first).collect();
+        let parts = parts.into_iter().zip(firsts);
+        pack(parts.flat_map(|(part, first)| self.table.records_of_part(part, first)))
     }
 
     // ---- time ---------------------------------------------------------------------------------------
