--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -15,3 +15,4 @@
 pub mod shrink;
 pub mod simulate;
 pub mod switch;
+pub mod topology;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fleet;
 pub mod judge;
 pub mod measure;
+pub mod scale;
 pub mod show;
 pub mod standins;
 pub mod world;
