--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -176,6 +176,8 @@
 pub struct Seats {
     seats: RefCell<HashMap<u64, Rc<Seat>>>,
     next: Cell<u64>,
+    /// The first one has come after a time with none.
+    occupied: Notify,
     left: Notify,
 }
 
@@ -208,10 +210,21 @@
             ending: Notify::new(),
         });
         let number = self.next.replace(self.next.get() + 1);
-        self.seats.borrow_mut().insert(number, Rc::clone(&seat));
+        let mut seats = self.seats.borrow_mut();
+        if seats.is_empty() {
+            self.occupied.notify_one();
+        }
+        seats.insert(number, Rc::clone(&seat));
         Taken { seats: self, number, seat }
     }
 
+    /// Comes back when there is one: nobody has to look after none. For one caller at a time.
+    pub async fn occupied(&self) {
+        while self.seats.borrow().is_empty() {
+            self.occupied.notified().await;
+        }
+    }
+
     /// Comes back when one has left.
     pub async fn left(&self) {
         self.left.notified().await;
@@ -273,3 +286,6 @@
         self.seats.borrow().values().filter(|seat| seat.is_busy() || seat.has_begun()).count()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -101,6 +101,8 @@
     /// Ends connections of which nothing comes, for as long as the agent lives.
     pub async fn sweep(self: Rc<Self>) {
         loop {
+            // A timer would wake an agent without clients for nothing.
+            self.seats.occupied().await;
             sleep(SWEEP_EVERY).await;
             self.seats.sweep(self.crowd.0);
             self.settle();
