scale: four threads for the switch, whole views only of agents that know as many as run, the start's share told

The rig now tells what it took while a fleet started, reads no whole view of an agent that does not know as many as run yet, and has four threads. Schedules are built fault by fault, a machine that dies is another than the broken member's.

--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -107,7 +107,7 @@
         let life = Life::from_unix_ms(unix_ms);
         Setup {
             number: self.number,
-            name: self.name.clone(),
+            name: self.name,
             life,
             peers: self.peers.clone(),
             // Agents may have one seed, or none: they must not all ask the same member at the same moment.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -224,7 +224,9 @@
 
 fn main() -> ExitCode {
     let task = Arguments::parse().command;
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    // The switch of a large fleet carries what hundreds of processes send.
+    let threads = if matches!(task, Some(Task::Scale(_))) { 4 } else { 2 };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     let end = match runtime {
         Ok(runtime) => runtime.block_on(async {
             tokio::select! {
--- a/lab/src/scale/book.rs
+++ b/lab/src/scale/book.rs
@@ -119,12 +119,14 @@
         self.evidence.entries.extend(entries.into_iter().map(|entry| (at, entry)));
     }
 
-    /// Those of these agents whose whole view is out of date and was not read since `before`.
+    /// Those of these agents whose whole view is out of date and was not read since `before`. Who has just started is read
+    /// once it knows as many as run: until then its view changes with every packet.
     pub fn outdated(&self, members: &[usize], before: Instant) -> Vec<Wanted> {
+        let running = self.running();
         let wanted = |member: &usize| {
             let observer = &self.observers[*member];
             let said = observer.said?;
-            let due = observer.read_at.is_none_or(|at| at <= before);
+            let due = observer.read_at.map_or(said.present >= running, |at| at <= before);
             (due && observer.read_whole != Some(said.digest)).then_some(())?;
             Some(Wanted { member: *member, generation: observer.generation, admin: observer.admin? })
         };
--- a/lab/src/scale/rig.rs
+++ b/lab/src/scale/rig.rs
@@ -86,7 +86,7 @@
 /// Where a member runs.
 pub(crate) enum Seat {
     /// In a process of its own, if it runs.
-    Real(Option<Process>),
+    Real(Option<Box<Process>>),
     /// In this host.
     Hollow {
         /// The host, by its place.
@@ -226,7 +226,7 @@
                     started.peers_at.ok_or_else(|| format!("agent {member} has no address for peers"))?;
                 self.switch.place(member, at);
                 self.eyes.book().started(member, started.admin);
-                *process = Some(started);
+                *process = Some(Box::new(started));
             }
         }
         Ok(())
@@ -297,7 +297,7 @@
         flooding.into_iter().for_each(|member| self.eyes.book().write(Entry::Flooded(member)));
         for (member, seat) in self.seats.iter_mut().enumerate() {
             let Seat::Real(process) = seat else { continue };
-            if process.as_mut().is_some_and(Process::has_ended) {
+            if process.as_mut().is_some_and(|process| process.has_ended()) {
                 *process = None;
                 self.eyes.book().ending(member);
                 self.eyes.book().write(Entry::Crashed(member));
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -1,7 +1,7 @@
 //! One run: a fleet starts, settles, is measured, goes through a schedule, and is judged.
 
 use crate::fleet::checker::{judge, Verdict};
-use crate::scale::measure::Window;
+use crate::scale::measure::{Meter, Window};
 use crate::scale::rig::{Rig, RigFault, Setup};
 use crate::scale::share::Share;
 use serde::Serialize;
@@ -24,6 +24,8 @@
     pub started: f64,
     /// How long all took from then on to settle on one view, in seconds.
     pub settled: f64,
+    /// What the rig took meanwhile.
+    pub began: Share,
     /// What was measured while nothing went wrong.
     pub windows: Vec<Window>,
     /// What the rig took while the schedule was played.
@@ -52,11 +54,14 @@
 ) -> Result<Outcome, RigFault> {
     let (plan, real, bounds) = (setup.plan.clone(), setup.real, setup.bounds);
     let mut rig = Rig::new(setup).await?;
-    let begin = Instant::now();
+    let (begin, meter) = (Instant::now(), Meter::start(&rig).await?);
     rig.start_all().await?;
     let started = begin.elapsed().as_secs_f64();
     tell(&format!("{} agents started in {started:.1} s", plan.agents));
-    let settled = rig.settle().await?.as_secs_f64();
+    let settled = rig.settle().await;
+    let began = meter.stop(&rig).await?.rig;
+    tell(&format!("until then: {began:?}"));
+    let settled = settled?.as_secs_f64();
     tell(&format!("one view after {settled:.1} s more"));
     let mut measured = Vec::new();
     if windows > 0 {
@@ -79,6 +84,7 @@
         real,
         started,
         settled,
+        began,
         windows: measured,
         played,
         verdict,
--- a/lab/src/scale/schedule.rs
+++ b/lab/src/scale/schedule.rs
@@ -8,6 +8,10 @@
 /// The zone and the region that are cut off.
 const ZONE: usize = 3;
 const REGION: usize = 2;
+/// Where the machine and the rack stand, and the agents that are restarted.
+const MACHINE_ZONE: usize = 10;
+const RACK_ZONE: usize = 8;
+const RESTARTS_REGION: usize = 5;
 /// How long they are, in seconds: longer than any suspicion lasts.
 const ZONE_CUT: f64 = 20.0;
 const REGION_CUT: f64 = 30.0;
@@ -20,29 +24,34 @@
 /// The schedule with this name for so many members.
 pub fn schedule(name: &str, members: usize, seed: u64) -> Result<Plan, String> {
     let topology = Topology::new(members);
-    let zone = |lasts: f64| (Kind::Partition, topology.in_zone(ZONE), lasts);
-    let region = (Kind::Partition, topology.in_region(REGION), REGION_CUT);
+    let fault = |at, kind, members, lasts| Fault { kind, at, lasts, members, amount: 0.0 };
+    let zone = |at, lasts| fault(at, Kind::Partition, topology.in_zone(ZONE), lasts);
+    let region = |at| fault(at, Kind::Partition, topology.in_region(REGION), REGION_CUT);
     // Other zones than the one that is cut off, so that one fault does not hide another.
-    let machine = (Kind::Kill, topology.in_zone(10).into_iter().take(MACHINE).collect(), 0.0);
-    let rack = (Kind::Kill, topology.in_zone(8).into_iter().take(RACK).collect(), 0.0);
-    let restarts = (Kind::Restart, spread(topology.in_region(5), RESTARTED), RESTART);
-    let faults: Vec<(f64, (Kind, Vec<usize>, f64))> = match name {
+    let few = |zone, most| topology.in_zone(zone).into_iter().take(most).collect();
+    let machine = |at| fault(at, Kind::Kill, few(MACHINE_ZONE, MACHINE), 0.0);
+    let rack = |at| fault(at, Kind::Kill, few(RACK_ZONE, RACK), 0.0);
+    let restarts =
+        |at, most, lasts| fault(at, Kind::Restart, spread(topology.in_region(RESTARTS_REGION), most), lasts);
+    let fault = match name {
         "start" => vec![],
-        "machine" => vec![(0.0, machine)],
-        "rack" => vec![(0.0, rack)],
-        "zone" => vec![(0.0, zone(ZONE_CUT))],
-        "region" => vec![(0.0, region)],
-        "restarts" => vec![(0.0, restarts)],
-        "all" => vec![(0.0, machine), (15.0, restarts), (30.0, rack), (50.0, zone(ZONE_CUT)), (90.0, region)],
-        "short" => vec![
-            (0.0, zone(6.0)),
-            (1.0, machine),
-            (12.0, (Kind::Restart, spread(topology.in_region(5), 2), 0.5)),
-        ],
+        "machine" => vec![machine(0.0)],
+        "rack" => vec![rack(0.0)],
+        "zone" => vec![zone(0.0, ZONE_CUT)],
+        "region" => vec![region(0.0)],
+        "restarts" => vec![restarts(0.0, RESTARTED, RESTART)],
+        "all" => {
+            vec![
+                machine(0.0),
+                restarts(15.0, RESTARTED, RESTART),
+                rack(30.0),
+                zone(50.0, ZONE_CUT),
+                region(90.0),
+            ]
+        }
+        "short" => vec![zone(0.0, 6.0), machine(1.0), restarts(12.0, 2, 0.5)],
         _ => return Err(format!("{name}: no such schedule ({})", NAMES.join(", "))),
     };
-    let fault = |(at, (kind, members, lasts))| Fault { kind, at, lasts, members, amount: 0.0 };
-    let fault = faults.into_iter().map(fault).collect();
     let about = format!("{name}, {members} members in 7 regions and 16 zones");
     Ok(Plan { name: name.into(), about, agents: members, seed, knows: Knows::All, fault })
 }
