--- a/cluster/src/envelope.rs
+++ b/cluster/src/envelope.rs
@@ -28,6 +28,8 @@
     Swim = 1,
     /// The rest of the view: comparing digests, exchanging records, telling lives.
     Talk = 2,
+    /// Changes of configuration; see [`crate::configuration`].
+    Configuration = 3,
 }
 
 /// Why a datagram was dropped.
@@ -75,6 +77,7 @@
     match *room {
         r if r == Room::Swim as u8 => Ok((Room::Swim, body)),
         r if r == Room::Talk as u8 => Ok((Room::Talk, body)),
+        r if r == Room::Configuration as u8 => Ok((Room::Configuration, body)),
         _ => Err(Unreadable::UnknownWords),
     }
 }
--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -2,7 +2,8 @@
 //! and of time and give back packets and events.
 //!
 //! What it is for: [`view::View`] keeps one member's view of the fleet (who is there, in which life, who is gone), which
-//! settles again after joins, crashes and partitions. What it is not for: it opens no socket, reads no clock, starts no
+//! settles again after joins, crashes and partitions; [`configuration::Configuration`] spreads what one writer publishes to all of
+//! them. What it is not for: it opens no socket, reads no clock, starts no
 //! thread, and never hears of a request; it does not keep strangers out (its checksum finds damage, not malice).
 //!
 //! ```
@@ -35,6 +36,7 @@
 //! assert_eq!(a.members(now).len(), 2);
 //! ```
 
+pub mod configuration;
 pub mod envelope;
 pub mod health;
 pub mod member;
--- a/cluster/src/view.rs
+++ b/cluster/src/view.rs
@@ -550,6 +550,8 @@
                 self.take_talk(now, from, talk);
                 Ok(())
             }
+            // The shell gives these to the configuration's state machine.
+            Room::Configuration => Err(Unreadable::UnknownWords.into()),
         }
     }
 
