Lab: changes of configuration in virtual time, with a tree to compare

Need: figures for the spread of configuration at the target's size before real processes.

Gossip tells first what was told of least, and hands out fewer copies when the budget of bytes is half gone: a trial at 10 changes a second had starved entries (300 members: p99 24 s to be in force), since the writer spent its budget on copies of the first ones. A pull whose pieces are not what the label names is given up after three times.

--- a/cluster/src/configuration/exchange.rs
+++ b/cluster/src/configuration/exchange.rs
@@ -305,7 +305,7 @@
         if !self.budget.is_left(now) {
             return self.gossip.put_off(now);
         }
-        let keys = self.gossip.take(now);
+        let keys = self.gossip.take(now, self.budget.copies_enough());
         let labels: Vec<Label> = keys
             .iter()
             .filter_map(|key| self.store.get(key))
--- a/cluster/src/configuration/gossip.rs
+++ b/cluster/src/configuration/gossip.rs
@@ -2,7 +2,8 @@
 //! comparison.
 
 use super::entry::{ENTRIES_MOST, Key};
-use super::pace::{ADVERTISE_EVERY, ADVERTISE_TIMES, COPIES_ENOUGH};
+use super::pace::{ADVERTISE_AT_ONCE, ADVERTISE_EVERY, ADVERTISE_TIMES};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -46,11 +47,19 @@
         self.due = Some(now + ADVERTISE_EVERY);
     }
 
-    /// The keys to be told of now; each counts as told.
-    pub fn take(&mut self, now: Duration) -> Vec<Key> {
-        self.fresh.retain(|_, fresh| fresh.times_left > 0 && fresh.copies < COPIES_ENOUGH);
-        self.due = (!self.fresh.is_empty()).then(|| now + ADVERTISE_EVERY);
-        self.fresh.values_mut().for_each(|fresh| fresh.times_left -= 1);
-        self.fresh.keys().cloned().collect()
+    /// The keys to be told of now, those first that were told of least; each counts as told. An entry of which this many copies
+    /// were handed out is not told of any more.
+    pub fn take(&mut self, now: Duration, copies_enough: u32) -> Vec<Key> {
+        self.fresh.retain(|_, fresh| fresh.times_left > 0 && fresh.copies < copies_enough);
+        let mut fresh: Vec<(&Key, &mut Fresh)> = self.fresh.iter_mut().collect();
+        fresh.sort_by_key(|(_, fresh)| Reverse(fresh.times_left));
+        fresh.truncate(ADVERTISE_AT_ONCE);
+        let told = |(key, fresh): (&Key, &mut Fresh)| {
+            fresh.times_left -= 1;
+            key.clone()
+        };
+        let keys: Vec<Key> = fresh.into_iter().map(told).collect();
+        self.due = (!keys.is_empty()).then(|| now + ADVERTISE_EVERY);
+        keys
     }
 }
--- a/cluster/src/configuration/pace.rs
+++ b/cluster/src/configuration/pace.rs
@@ -10,8 +10,13 @@
 pub const ADVERTISE_TIMES: u32 = 4;
 /// So many copies handed out are enough: the others have more to give by then.
 pub const COPIES_ENOUGH: u32 = 3;
+/// The same while less than half of what may be sent at once is left: so that a writer with many changes, whom everybody asks
+/// first, hands out each of them.
+pub const COPIES_ENOUGH_WHEN_BUSY: u32 = 1;
+/// Entries that are told of at a time; they fit into [`ADVERTISE_PACKETS_MOST`].
+pub const ADVERTISE_AT_ONCE: usize = 12;
 /// Packets of labels for one member at a time.
-pub const ADVERTISE_PACKETS_MOST: usize = 2;
+pub const ADVERTISE_PACKETS_MOST: usize = 3;
 
 /// How often a member compares its configuration with another one.
 pub const COMPARE_EVERY: Duration = Duration::from_millis(1_000);
@@ -74,6 +79,12 @@
         self.bytes > 0
     }
 
+    /// How many copies of an entry are enough now.
+    pub fn copies_enough(&self) -> u32 {
+        let is_busy = self.bytes < BYTES_AT_ONCE as i64 / 2;
+        if is_busy { COPIES_ENOUGH_WHEN_BUSY } else { COPIES_ENOUGH }
+    }
+
     /// So many bytes were sent. What always goes out can't run up a debt of more than a second.
     pub fn spend(&mut self, bytes: usize) {
         self.bytes = (self.bytes - bytes as i64).max(-(BYTES_A_SECOND as i64));
--- a/cluster/src/configuration/pulls.rs
+++ b/cluster/src/configuration/pulls.rs
@@ -14,6 +14,8 @@
 pub const RETRY_AFTER: Duration = Duration::from_millis(200);
 /// How often an entry is asked for in vain before it is given up.
 pub const TRIES_MOST: u32 = 6;
+/// How often the pieces of an entry may turn out not to be what its label names before it is given up.
+pub const DAMAGED_MOST: u32 = 3;
 /// Members that are remembered to hold an entry.
 const SOURCES_MOST: usize = 4;
 
@@ -27,12 +29,14 @@
     retry_at: Duration,
     /// Questions since something last came.
     tries: u32,
+    /// How often the pieces were not what the label names.
+    damaged: u32,
 }
 
 impl Pull {
     fn new(label: Label, source: Number, now: Duration) -> Pull {
         let retry_at = now + RETRY_AFTER;
-        Pull { label, newer: None, sources: vec![source], assembly: None, retry_at, tries: 1 }
+        Pull { label, newer: None, sources: vec![source], assembly: None, retry_at, tries: 1, damaged: 0 }
     }
 
     fn want(&self) -> Want {
@@ -137,7 +141,8 @@
     /// A piece has come. One of a later version than was asked for takes the place of that: its sender had no longer the
     /// one that was asked for.
     pub fn piece(&mut self, now: Duration, piece: Piece, from: Number) -> Progress {
-        let Some(pull) = self.by_key.get_mut(&piece.label.key) else { return Progress::Unwanted };
+        let key = piece.label.key.clone();
+        let Some(pull) = self.by_key.get_mut(&key) else { return Progress::Unwanted };
         if piece.label.version > pull.label.version {
             let newer = pull.newer.take().filter(|(newer, _)| newer.version > piece.label.version);
             *pull = Pull { newer, ..Pull::new(piece.label.clone(), from, now) };
@@ -163,6 +168,10 @@
             None => {
                 // One of the pieces was wrong, and which of them nobody can tell.
                 pull.sources.rotate_left(1);
+                pull.damaged += 1;
+                if pull.damaged >= DAMAGED_MOST {
+                    self.by_key.remove(&key);
+                }
                 Progress::Damaged
             }
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod capacity;
 pub mod clock;
+pub mod configuration;
 pub mod emulate;
 pub mod fleet;
 pub mod judge;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
+mod configuration_command;
 mod fleet_command;
 
 use clap::{Args, Parser, Subcommand};
@@ -89,6 +90,8 @@
     },
     /// Many agents that know of one another, with faults between them: judged, exit status 0 only if every rule held
     Fleet(FleetArguments),
+    /// What changes of configuration take and cost in a fleet, in virtual time
+    Configuration(configuration_command::ConfigurationArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -225,6 +228,7 @@
         }
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
+        Some(Task::Configuration(arguments)) => configuration_command::run(&arguments),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
