Configuration: a busy member tells one other at a time, and joins gossip sooner

Cause: at 10 changes a second 24 of 120 parts differ between any two members because of what is on its way, so that members took themselves for newcomers and passed nothing on; and the writer handed out two copies of everything, beyond its budget of bytes.

--- a/cluster/src/configuration/exchange.rs
+++ b/cluster/src/configuration/exchange.rs
@@ -305,15 +305,18 @@
         if !self.budget.is_left(now) {
             return self.gossip.put_off(now);
         }
-        let keys = self.gossip.take(now, self.budget.copies_enough());
+        let (copies_enough, to) = match self.budget.is_busy() {
+            true => (pace::COPIES_ENOUGH_WHEN_BUSY, pace::ADVERTISE_TO_WHEN_BUSY),
+            false => (pace::COPIES_ENOUGH, pace::ADVERTISE_TO),
+        };
+        let keys = self.gossip.take(now, copies_enough);
         let labels: Vec<Label> = keys
             .iter()
             .filter_map(|key| self.store.get(key))
             .map(|held| held.entry.label().clone())
             .collect();
         let messages = pack(&labels, pace::ADVERTISE_PACKETS_MOST, Message::Have);
-        let targets: Vec<Number> =
-            self.others.sample(&mut self.random, pace::ADVERTISE_TO).copied().collect();
+        let targets: Vec<Number> = self.others.sample(&mut self.random, to).copied().collect();
         for target in targets {
             messages.iter().for_each(|message| self.send(target, message));
         }
--- a/cluster/src/configuration/pace.rs
+++ b/cluster/src/configuration/pace.rs
@@ -10,9 +10,11 @@
 pub const ADVERTISE_TIMES: u32 = 4;
 /// So many copies handed out are enough: the others have more to give by then.
 pub const COPIES_ENOUGH: u32 = 3;
-/// The same while less than half of what may be sent at once is left: so that a writer with many changes, whom everybody asks
-/// first, hands out each of them.
+/// The same for a member that is busy: less than half of what it may send at once is left. So a writer with many changes, whom
+/// everybody asks first, hands out each of them.
 pub const COPIES_ENOUGH_WHEN_BUSY: u32 = 1;
+/// How many a busy member tells each time.
+pub const ADVERTISE_TO_WHEN_BUSY: usize = 1;
 /// Entries that are told of at a time; they fit into [`ADVERTISE_PACKETS_MOST`].
 pub const ADVERTISE_AT_ONCE: usize = 12;
 /// Packets of labels for one member at a time.
@@ -23,7 +25,7 @@
 /// The same, while the last comparison found something that is missing here.
 pub const COMPARE_EVERY_UNLIKE: Duration = Duration::from_millis(250);
 /// A member whose configuration differs from another's in so many parts at most lacks no more than what is on its way.
-pub const PARTS_NEAR: usize = 24;
+pub const PARTS_NEAR: usize = 60;
 /// Packets of labels in answer to one comparison.
 pub const LIST_PACKETS_MOST: usize = 8;
 
@@ -79,10 +81,9 @@
         self.bytes > 0
     }
 
-    /// How many copies of an entry are enough now.
-    pub fn copies_enough(&self) -> u32 {
-        let is_busy = self.bytes < BYTES_AT_ONCE as i64 / 2;
-        if is_busy { COPIES_ENOUGH_WHEN_BUSY } else { COPIES_ENOUGH }
+    /// Whether less than half is left.
+    pub fn is_busy(&self) -> bool {
+        self.bytes < BYTES_AT_ONCE as i64 / 2
     }
 
     /// So many bytes were sent. What always goes out can't run up a debt of more than a second.
