--- a/cluster/src/configuration/tests.rs
+++ b/cluster/src/configuration/tests.rs
@@ -1,6 +1,7 @@
 //! The configuration's state machine, by itself and in fleets in virtual time.
 
 mod fleet;
+mod garbage;
 mod histories;
 
 use super::*;
