--- a/cluster/src/lib.rs
+++ b/cluster/src/lib.rs
@@ -2,7 +2,8 @@
 //! and of time and give back packets and events.
 //!
 //! What it is for: [`view::View`] keeps one member's view of the fleet (who is there, in which life, who is gone), which
-//! settles again after joins, crashes and partitions. What it is not for: it opens no socket, reads no clock, starts no
+//! settles again after joins, crashes and partitions; [`configuration::Configuration`] spreads what one writer publishes to all of
+//! them. What it is not for: it opens no socket, reads no clock, starts no
 //! thread, and never hears of a request; it does not keep strangers out (its checksum finds damage, not malice).
 //!
 //! ```
@@ -36,6 +37,7 @@
 //! ```
 
 pub mod by_number;
+pub mod configuration;
 pub mod envelope;
 pub mod health;
 pub mod member;
--- a/cluster/src/view/receive.rs
+++ b/cluster/src/view/receive.rs
@@ -30,6 +30,8 @@
                 self.receive_talk(now, from, talk);
                 Ok(())
             }
+            // The shell gives these to the configuration's state machine.
+            Room::Configuration => Err(Unreadable::UnknownWords.into()),
         }
     }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
 mod capacity_command;
+mod configuration_command;
 mod fleet_command;
 mod measure_command;
 mod scale_command;
@@ -98,6 +99,8 @@
     Measure(measure_command::MeasureArguments),
     /// A large fleet of a few real agents and many hollow ones: measured, judged, and set beside what is predicted
     Scale(ScaleArguments),
+    /// What changes of configuration take and cost in a fleet, in virtual time
+    Configuration(configuration_command::ConfigurationArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -303,6 +306,7 @@
         Some(Task::Capacity(arguments)) => capacity_command::run(&arguments),
         Some(Task::Measure(arguments)) => measure_command::run(arguments).await,
         Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
+        Some(Task::Configuration(arguments)) => configuration_command::run(&arguments),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
