Limits in one module, changeable in a running agent whole and at once

Nothing can change a limit of a running agent today. The shares and their checks move from config.rs to limits.rs; a published value (configuration/document.rs) is a TOML text with [limits], checked as a file is; configuration/live.rs applies it in one step: clients' connections, connections to servers, memory of bodies. Two processes of an upgrade share the new whole from the same step on, and where it is smaller than what they hold each keeps an equal part until enough has gone.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -3,15 +3,16 @@
 use crate::budget::Budget;
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::configuration::live::{Connections, LiveLimits};
 use crate::driver::Driver;
 use crate::fronts::admin;
 use crate::fronts::plain::intake::{Catalogue, Class};
 use crate::fronts::plain::server::Server;
-use crate::lifecycle::{LifeCycle, Phase};
+use crate::lifecycle::LifeCycle;
 use crate::list::Commands;
 use crate::log::{log, log_events};
 use crate::peers::Peers;
-use crate::share::file::{Holds, Share};
+use crate::share::file::Share;
 use crate::sources::freshness::Terms;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
@@ -76,9 +77,9 @@
         let classes = classes.collect();
         let longest = length(settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
         let terms = Terms::of(&settings);
-        let bodies = Budget::new(config.body_bytes);
+        let bodies = Budget::new(config.limits.body_bytes);
         let pool = Pool::new(
-            config.backend_connections,
+            config.limits.server_connections,
             length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
             length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
         );
@@ -92,11 +93,11 @@
         let names = (file.zone_names(), file.kind_names());
         let version = config.known.as_ref().map_or(0, |list| list.rev);
         let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
-        let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
+        let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies: Rc::clone(&bodies) };
         let inherited = config.listener.is_some();
         let life = LifeCycle::new(inherited, longest);
         let clients = Rc::new(Clients::new(life, driver.clone()));
-        let room = (config.client_connections, config.client_crowd);
+        let room = (config.limits.client_connections, config.limits.client_crowd);
         let server = Server::new(driver.clone(), Rc::clone(&clients), catalogue, room);
         let tally = config.tally_every.map(|every| {
             driver.tally().switch_on();
@@ -113,17 +114,14 @@
             None => listen(config.listen).await?,
         };
         let address = listener.local_addr().map_err(|e| e.to_string())?;
-        if inherited {
-            // Two processes are one agent for a while.
-            let whole = (config.client_connections, config.backend_connections);
-            let mut share = Share::new(&std::env::temp_dir(), address, whole);
-            let connections = Connections {
-                server: Rc::clone(&server),
-                clients: Rc::clone(&clients),
-                driver: driver.clone(),
-            };
-            share.step(&connections);
-            tasks.push(task(share.run(connections)));
+        let whole = (config.limits.client_connections, config.limits.server_connections);
+        // Two processes are one agent for a while.
+        let share = inherited.then(|| Share::new(&std::env::temp_dir(), address, whole));
+        let connections =
+            Connections { server: Rc::clone(&server), clients: Rc::clone(&clients), driver: driver.clone() };
+        let live = Rc::new(LiveLimits::new(config.base, connections, bodies, share));
+        if live.share() {
+            tasks.push(task(Rc::clone(&live).run()));
         }
         let mut peers = None;
         if let Some(config) = config.peers {
@@ -204,28 +202,6 @@
     }
 }
 
-/// What this process holds, for the other one of its agent.
-struct Connections {
-    server: Rc<Server>,
-    clients: Rc<Clients>,
-    driver: Driver,
-}
-
-impl Holds for Connections {
-    fn held(&self) -> (usize, usize) {
-        (self.server.connections(), self.driver.pool().count())
-    }
-
-    fn allow(&self, clients: usize, servers: usize) {
-        self.server.allow(clients);
-        self.driver.pool().allow(servers);
-    }
-
-    fn is_leaving(&self) -> bool {
-        matches!(self.clients.phase(), Phase::Stopping(_) | Phase::HandingOver(_))
-    }
-}
-
 async fn listen(at: SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
 }
--- a/agent/src/budget.rs
+++ b/agent/src/budget.rs
@@ -4,28 +4,39 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Bytes that are still free, and a bell for those who wait for some.
-pub struct Budget(Cell<usize>, Notify);
+/// How many bytes may be held and are, and a bell for those who wait for some.
+pub struct Budget {
+    most: Cell<usize>,
+    held: Cell<usize>,
+    freed: Notify,
+}
 
 impl Budget {
     /// So many bytes in all.
     pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(Budget(Cell::new(bytes), Notify::new()))
+        Rc::new(Budget { most: Cell::new(bytes), held: Cell::new(0), freed: Notify::new() })
+    }
+
+    /// So many bytes in all from now on. What is held beyond that stays until it is dropped, and nothing is given meanwhile.
+    pub fn allow(&self, bytes: usize) {
+        self.most.set(bytes);
+        self.freed.notify_one();
     }
 
     /// Sets `bytes` aside until the portion is dropped; `None` if there are not so many.
     pub fn take(self: &Rc<Self>, bytes: usize) -> Option<Portion> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
+        let held = self.held.get().checked_add(bytes).filter(|held| *held <= self.most.get())?;
+        self.held.set(held);
         Some(Portion { budget: Rc::clone(self), bytes })
     }
 
     /// The same, once there are so many.
     pub async fn take_when_free(self: &Rc<Self>, bytes: usize) -> Portion {
         loop {
-            let freed = self.1.notified();
+            let freed = self.freed.notified();
             if let Some(portion) = self.take(bytes) {
                 // There may be more, and one word of it only.
-                self.1.notify_one();
+                self.freed.notify_one();
                 return portion;
             }
             freed.await;
@@ -41,8 +52,8 @@
 
 impl Drop for Portion {
     fn drop(&mut self) {
-        self.budget.0.set(self.budget.0.get() + self.bytes);
-        self.budget.1.notify_one();
+        self.budget.held.set(self.budget.held.get() - self.bytes);
+        self.budget.freed.notify_one();
     }
 }
 
@@ -61,6 +72,25 @@
         drop(second);
     }
 
+    #[tokio::test]
+    async fn another_size_counts_from_the_next_portion_on_and_wakes_who_waits() {
+        let budget = Budget::new(10);
+        let first = budget.take(7);
+        budget.allow(5);
+        assert!(budget.take(1).is_none(), "seven of five are held");
+        drop(first);
+        let five = budget.take(5);
+        assert!(five.is_some() && budget.take(1).is_none());
+        let grow = async {
+            tokio::task::yield_now().await;
+            budget.allow(8);
+        };
+        let (portion, ()) = tokio::join!(budget.take_when_free(3), grow);
+        assert!(budget.take(1).is_none());
+        drop((portion, five));
+        assert!(budget.take(8).is_some());
+    }
+
     #[tokio::test]
     async fn those_who_wait_get_theirs_as_others_end() {
         let budget = Budget::new(10);
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -2,10 +2,11 @@
 
 use crate::fault::Fault;
 use crate::inherit;
+use crate::limits::{Deployment, Limits, LimitsBase, SOCKETS_LEAST};
 use crate::list::ListReply;
 use crate::log::log;
 use crate::peers::{PeerWords, PeersConfig};
-use crate::switches::{read_bounded, Switches};
+use crate::switches::{read_bounded, LimitsTable, Switches};
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
 use std::collections::hash_map::DefaultHasher;
@@ -14,23 +15,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Descriptors kept back for the listeners, operators (16), discovery, the runtime and accepted connections on their way
-/// out.
-const RESERVE: usize = 48;
-/// What a deployment that states no limit is taken to allow.
-const SOCKETS_DEFAULT: usize = 1024;
-const SOCKETS_LEAST: usize = 64;
-/// What a deployment that states no memory is taken to allow, and the least that is reckoned with, in MB.
-const MEMORY_DEFAULT: f64 = 64.0;
-const MEMORY_LEAST: f64 = 16.0;
-/// What the program holds when it does nothing, with room for lists and the records of servers.
-const OWN_BYTES: f64 = 6.0 * 1024.0 * 1024.0;
-/// The shares of the rest that bodies and clients' connections may hold, and what one of those holds at most:
-/// hyper's two buffers, and the tasks and records round them.
-const BODIES_SHARE: f64 = 0.4;
-const CLIENTS_SHARE: f64 = 0.25;
-const CLIENT_BYTES: f64 = 28.0 * 1024.0;
-
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -48,7 +32,7 @@
     #[serde(default)]
     peers: Option<serde_json::Value>,
     #[serde(default)]
-    limits: Limits,
+    limits: LimitsStated,
     #[serde(default)]
     known: Option<ListReply>,
     settings: SettingsFile,
@@ -56,7 +40,7 @@
 
 #[derive(Default, Deserialize)]
 #[serde(default)]
-struct Limits {
+struct LimitsStated {
     sockets: Option<usize>,
     memory_mb: Option<f64>,
 }
@@ -82,14 +66,10 @@
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
     pub seed: u64,
-    /// Most connections of clients that are held at once.
-    pub client_connections: usize,
-    /// Beyond so many, clients' connections that rest are closed; and beyond so many, all after their answer.
-    pub client_crowd: (usize, usize),
-    /// Most connections to backends that are held at once.
-    pub backend_connections: usize,
-    /// Most bytes that bodies of requests and answers hold at once.
-    pub body_bytes: usize,
+    /// What the agent allows itself at its start.
+    pub limits: Limits,
+    /// What a change of configuration is checked against, and what returns when one leaves a key out.
+    pub base: LimitsBase,
     /// How often a line counts what the agent does, if it does.
     pub tally_every: Option<Duration>,
     /// The other agents, where a file switches them on.
@@ -150,17 +130,7 @@
         if file.settings.class_names().iter().any(String::is_empty) {
             return Err(Fault::of_key("settings.classes", "a request class has no name"));
         }
-        let sockets = file.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
-        if sockets < SOCKETS_LEAST {
-            let reason = format!("is {sockets}; at least {SOCKETS_LEAST} are needed");
-            return Err(Fault::of_key("limits.sockets", reason));
-        }
-        let usable = sockets - RESERVE;
-        let sockets = held_by_process(sockets);
-        let shared = sockets - RESERVE;
-        let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
-        let memory = memory - OWN_BYTES;
-        let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
+        let deployment = Deployment::new(file.limits.sockets, file.limits.memory_mb, held_by_process)?;
         let tally_every = switches.tally.map(|tally| Duration::from_millis(tally.every_ms));
         let seed = file.seed.map_or(0, |seed| seed_number(&seed));
         let words = PeerWords {
@@ -173,25 +143,8 @@
         };
         let peers =
             switches.fleet.map(|fleet| PeersConfig::new(words, &fleet, switches.trial)).transpose()?;
-        let own = switches.limits.unwrap_or_default();
-        let client_connections = own.client_connections.unwrap_or(clients.min(shared / 2));
-        let backend_connections = own.server_connections.unwrap_or(shared - shared / 2);
-        if client_connections + backend_connections > usable {
-            let reason = format!(
-                "client and server connections come to {}, and of the {} descriptors of the configuration's \
-                 limits.sockets no more than {usable} are for them",
-                client_connections + backend_connections,
-                usable + RESERVE
-            );
-            return Err(Fault::of_key("limits", reason));
-        }
-        let crowd = match own.client_connections {
-            Some(most) => (most - most / 3, most - most / 6),
-            // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
-            // room for the others long before that.
-            None => (sockets / 6, sockets / 4),
-        };
-        let bodies = own.body_memory_mb.map(|mb| mb as usize * 1024 * 1024);
+        let base = LimitsBase { deployment, table: switches.limits.unwrap_or_default() };
+        let limits = base.limits(&LimitsTable::default())?;
         let listen = address("listen", over.listen.or(file.listen))?;
         let admin = over.admin.or(file.admin).map(|text| address("admin", Some(text))).transpose()?;
         if admin.is_some_and(|admin| admin == listen && admin.port() != 0) {
@@ -206,10 +159,8 @@
             admin,
             discovery: address("discovery", over.discovery.or(file.discovery))?,
             seed,
-            client_connections,
-            client_crowd: crowd,
-            backend_connections,
-            body_bytes: bodies.unwrap_or((memory * BODIES_SHARE) as usize),
+            limits,
+            base,
             tally_every,
             peers,
             known: file.known,
@@ -266,6 +217,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::limits::{CLIENT_BYTES, RESERVE};
 
     const SETTINGS: &str = r#"{"classes":[{"name":"read","aimMs":200.0,"deadlineMs":400.0,"points":1.0}]}"#;
 
@@ -281,11 +233,11 @@
         );
         let config = parse(&text).expect("usable");
         assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
-        assert!(config.client_connections + config.backend_connections + RESERVE <= 1024);
+        assert!(config.limits.client_connections + config.limits.server_connections + RESERVE <= 1024);
         let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
         let small = Config::parse(small.as_bytes(), Switches::default()).expect("usable");
-        let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
-        assert!(held <= 0.65 * 26.0 * 1024.0 * 1024.0 && small.client_connections > 200);
+        let held = small.limits.client_connections as f64 * CLIENT_BYTES + small.limits.body_bytes as f64;
+        assert!(held <= 0.65 * 26.0 * 1024.0 * 1024.0 && small.limits.client_connections > 200);
         let file = super::parse(text.as_bytes()).expect("readable");
         let over = Words { listen: Some("127.0.0.2:90".into()), ..Words::default() };
         let over = Config::new(file, Switches::default(), over).expect("usable");
@@ -311,8 +263,8 @@
         let with = |own: &str| Config::parse(text.as_bytes(), Switches::parse(own).expect("usable"));
         let config = with("[limits]\nclient_connections = 900\nserver_connections = 64\nbody_memory_mb = 3")
             .expect("usable");
-        assert_eq!((config.client_connections, config.backend_connections), (900, 64));
-        assert_eq!((config.client_crowd, config.body_bytes), ((600, 750), 3 << 20));
+        assert_eq!((config.limits.client_connections, config.limits.server_connections), (900, 64));
+        assert_eq!((config.limits.client_crowd, config.limits.body_bytes), ((600, 750), 3 << 20));
         let fault =
             with("[limits]\nclient_connections = 900\nserver_connections = 100").err().expect("refused");
         assert!(fault.to_string().contains("1024 descriptors"), "{fault}");
--- /dev/null
+++ b/agent/src/configuration/document.rs
@@ -0,0 +1,49 @@
+//! A published value: a TOML text with the tables that may change while an agent runs.
+
+use crate::fault::Fault;
+use crate::switches::LimitsTable;
+use serde::Deserialize;
+
+/// What a value says. Whatever it leaves out is as it was at the agent's start.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// `[limits]`, see `deploy/limits.toml`.
+    pub limits: Option<LimitsTable>,
+}
+
+impl Document {
+    /// Reads a value; an unknown key or a bad figure is a fault that names key and reason.
+    pub fn parse(value: &[u8]) -> Result<Document, Fault> {
+        let text = std::str::from_utf8(value).map_err(|_| Fault::of_all("is not UTF-8 text"))?;
+        let toml = toml::Deserializer::parse(text)
+            .map_err(|e| Fault::of_all(format!("is not TOML: {}", e.message())))?;
+        let document: Document = serde_path_to_error::deserialize(toml)
+            .map_err(|e| Fault::at_path(e.path(), &e.inner().message()))?;
+        document.limits.as_ref().map_or(Ok(()), LimitsTable::check)?;
+        Ok(document)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_value_holds_the_tables_that_may_change_and_nothing_else() {
+        let document = Document::parse(b"[limits]\nclient_connections = 60\n").expect("usable");
+        assert_eq!(document.limits.and_then(|limits| limits.client_connections), Some(60));
+        assert_eq!(Document::parse(b"").expect("everything as at the start"), Document::default());
+        for (value, key, reason) in [
+            (&b"[limits]\nclient_connections = 7"[..], "limits.client_connections", "between 8 and"),
+            (b"[limits]\nclients = 9", "limits.clients", "unknown field"),
+            (b"[fleet]", "fleet", "unknown field"),
+            (b"[limits", "", "not TOML"),
+            (b"\xff", "", "not UTF-8"),
+        ] {
+            let fault = Document::parse(value).expect_err("unusable");
+            assert_eq!(fault.key.as_deref().unwrap_or_default(), key);
+            assert!(fault.to_string().contains(reason) && fault.to_string().lines().count() == 1, "{fault}");
+        }
+    }
+}
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot::error::RecvError;
+use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
@@ -50,7 +51,9 @@
     open: Gauge,
     open_most: Cell<usize>,
     /// Beyond so many, those that rest are closed; and beyond so many, all after their answer.
-    crowd: (usize, usize),
+    crowd: Cell<(usize, usize)>,
+    /// Rings when more connections are open than are allowed.
+    crowded: Notify,
 }
 
 impl Server {
@@ -62,8 +65,8 @@
         (open_most, crowd): (usize, (usize, usize)),
     ) -> Rc<Self> {
         let (seats, open) = Default::default();
-        let open_most = Cell::new(open_most);
-        Rc::new(Server { driver, clients, catalogue, seats, open, open_most, crowd })
+        let (open_most, crowd, crowded) = (Cell::new(open_most), Cell::new(crowd), Notify::new());
+        Rc::new(Server { driver, clients, catalogue, seats, open, open_most, crowd, crowded })
     }
 
     /// No more connections than so many from now on.
@@ -71,6 +74,18 @@
         self.open_most.set(most);
     }
 
+    /// Makes room until no more connections are open than are allowed, and not only once another one comes.
+    pub fn close_excess(&self) {
+        if self.open.count() > self.open_most.get() {
+            self.crowded.notify_one();
+        }
+    }
+
+    /// From how many connections on the resting ones are closed, and from how many on all after their answer.
+    pub fn crowd(&self, crowd: (usize, usize)) {
+        self.crowd.set(crowd);
+    }
+
     /// Accepts connections until dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         loop {
@@ -80,7 +95,11 @@
                 self.seats.make_room();
                 let _ = timeout(ACCEPT_PAUSE, self.seats.left()).await;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.crowded.notified() => continue,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let (server, ticket) = (Rc::clone(self), self.open.enter());
                     let (wire, view) = Wire::of_client(stream, ticket);
@@ -102,7 +121,7 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             sleep(SWEEP_EVERY).await;
-            self.seats.sweep(self.crowd.0);
+            self.seats.sweep(self.crowd.get().0);
             self.settle();
         }
     }
@@ -133,7 +152,7 @@
                 seat.begin();
                 let mut answer = server.handle(&seat, request).await;
                 // Clients that ask once and stay would leave the others none of the connections that all may hold.
-                if server.clients.ends_connections() || server.open.count() > server.crowd.1 {
+                if server.clients.ends_connections() || server.open.count() > server.crowd.get().1 {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 let leaves = answer.headers().contains_key(CONNECTION);
--- a/agent/src/share/file.rs
+++ b/agent/src/share/file.rs
@@ -3,7 +3,7 @@
 //! dead process's, and is removed; whatever can't be opened or read, for want of descriptors above all, says what it said last. Where
 //! the folder is of no use the process keeps its whole share, as where it is alone.
 
-use super::{limit, may_stand, next_claim, Said, Side};
+use super::{limit, limit_of_smaller_whole, may_stand, next_claim, Said, Side};
 use crate::log::log;
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions, TryLockError};
@@ -53,11 +53,17 @@
         Share { folder, own: own.ok(), said: Said::default(), whole, last: HashMap::new() }
     }
 
-    /// Shares for as long as the process lives.
-    pub async fn run(mut self, holds: impl Holds) {
-        loop {
-            let alone = self.step(&holds);
-            tokio::time::sleep(if alone { LOOK_ALONE } else { LOOK_TOGETHER }).await;
+    /// From the next step on so many connections to clients and to servers are shared.
+    pub fn set_whole(&mut self, whole: (usize, usize)) {
+        self.whole = whole;
+    }
+
+    /// How long to wait for the next step, after one that found the process `alone` or not.
+    pub fn pause(alone: bool) -> Duration {
+        if alone {
+            LOOK_ALONE
+        } else {
+            LOOK_TOGETHER
         }
     }
 
@@ -88,9 +94,12 @@
             }
             self.say();
         }
+        let allowed = |whole: usize, own: Side, others: &[Side]| {
+            limit_of_smaller_whole(whole, own.held, limit(whole, own.claim, others), others)
+        };
         holds.allow(
-            limit(self.whole.0, self.said.clients.claim, &sides(|s| s.clients, &others)),
-            limit(self.whole.1, self.said.servers.claim, &sides(|s| s.servers, &others)),
+            allowed(self.whole.0, self.said.clients, &sides(|s| s.clients, &others)),
+            allowed(self.whole.1, self.said.servers, &sides(|s| s.servers, &others)),
         );
         others.is_empty()
     }
@@ -288,6 +297,38 @@
         std::fs::remove_dir_all(folder).unwrap();
     }
 
+    /// A smaller whole holds from the next step on, even where more is held than it allows.
+    #[test]
+    fn another_whole_is_shared_from_the_next_step_on() {
+        let folder = folder("whole");
+        let listen: SocketAddr = "127.0.0.1:80".parse().unwrap();
+        let (one, two) = (Process::default(), Process::default());
+        let mut first = Share::new(&folder, listen, (100, 50));
+        one.0.set((90, 10));
+        first.step(&one);
+        first.set_whole((40, 50));
+        first.step(&one);
+        assert_eq!(one.1.get(), (40, 50));
+        let mut second = Share::new(&folder, listen, (40, 50));
+        for _ in 0..4 {
+            first.step(&one);
+            second.step(&two);
+            // They let go what is beyond their limits.
+            one.0.set((one.0.get().0.min(one.1.get().0), 10));
+        }
+        assert!(one.1.get().0 + two.1.get().0 <= 40, "{:?} {:?}", one.1.get(), two.1.get());
+        first.set_whole((100, 50));
+        second.set_whole((100, 50));
+        for _ in 0..4 {
+            first.step(&one);
+            second.step(&two);
+        }
+        let all = one.1.get().0 + two.1.get().0;
+        assert!((60..=100).contains(&all), "{all}");
+        drop((first, second));
+        std::fs::remove_dir_all(folder).unwrap();
+    }
+
     #[test]
     fn a_folder_that_is_of_no_use_leaves_the_whole_share() {
         let process = Process::default();
--- a/agent/src/share/mod.rs
+++ b/agent/src/share/mod.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// The most to open where the whole has become smaller than what all hold: an equal part each until enough has gone. In all
+/// other cases the limit stays as it is.
+pub fn limit_of_smaller_whole(whole: usize, held: usize, limit: usize, others: &[Side]) -> usize {
+    let all: usize = held + others.iter().map(|side| side.held).sum::<usize>();
+    if all <= whole {
+        limit.min(whole)
+    } else {
+        limit.min(whole / (others.len() + 1))
+    }
+}
+
 /// Whether a claim that has risen may stand, given what the others say after it was said.
 pub fn may_stand(whole: usize, claim: usize, others: &[Side]) -> bool {
     claim + others.iter().map(|side| side.claim).sum::<usize>() <= whole
@@ -81,6 +92,15 @@
         assert_eq!((limit(WHOLE, WHOLE, &[side(0, 0)]), limit(WHOLE, 90, &[side(0, 0)])), (126, 90));
     }
 
+    #[test]
+    fn a_whole_that_has_become_smaller_is_held_by_each_in_equal_parts_until_enough_has_gone() {
+        assert_eq!(limit_of_smaller_whole(50, 100, 100, &[]), 50);
+        assert_eq!(limit_of_smaller_whole(50, 38, 38, &[side(20, 20)]), 25);
+        assert_eq!(limit_of_smaller_whole(50, 20, 20, &[side(38, 38)]), 20);
+        // What fits is left alone.
+        assert_eq!(limit_of_smaller_whole(WHOLE, 60, 118, &[side(30, 50)]), 118);
+    }
+
     /// One step of a process: it reads, says what it claims, reads again, and goes by it.
     #[derive(Clone, Copy, Default)]
     enum Step {
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -134,10 +134,16 @@
                 ));
             }
         }
-        let Some(limits) = &self.limits else { return Ok(()) };
+        self.limits.as_ref().map_or(Ok(()), LimitsTable::check)
+    }
+}
+
+impl LimitsTable {
+    /// Whether each value that is there lies in its range.
+    pub(crate) fn check(&self) -> Result<(), Fault> {
         let connections = [
-            ("client_connections", limits.client_connections),
-            ("server_connections", limits.server_connections),
+            ("client_connections", self.client_connections),
+            ("server_connections", self.server_connections),
         ];
         for (key, value) in connections {
             if value.is_some_and(|n| !(8..=CONNECTIONS_MOST).contains(&n)) {
@@ -147,7 +153,7 @@
                 ));
             }
         }
-        if limits.body_memory_mb.is_some_and(|mb| !(1..=MEMORY_MOST).contains(&mb)) {
+        if self.body_memory_mb.is_some_and(|mb| !(1..=MEMORY_MOST).contains(&mb)) {
             return Err(Fault::of_key(
                 "limits.body_memory_mb",
                 format!("must lie between 1 and {MEMORY_MOST} (MB)"),
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -135,6 +135,16 @@
         self.open_most.set(most);
     }
 
+    /// Closes idle connections, the coldest first, until no more than are allowed are open or none is idle.
+    pub fn close_excess(&self) {
+        let excess = self.open.count().saturating_sub(self.open_most.get());
+        for _ in 0..excess {
+            if !self.close_coldest() {
+                return;
+            }
+        }
+    }
+
     /// How many are open.
     pub fn count(&self) -> usize {
         self.open.count()
@@ -189,11 +199,15 @@
         }
     }
 
-    /// Keeps a connection for the next request.
+    /// Keeps a connection for the next request, unless more are open than are allowed.
     pub fn give_back(&self, place: Place, mut lease: Lease) {
         let Some(sender) = lease.sender.take() else { return };
         let (view, task) = (lease.view.clone(), lease.task.clone());
         let idle = Idle { sender, view, task, since: Instant::now(), life: place.life };
+        if self.open.count() > self.open_most.get() {
+            self.close(&idle);
+            return;
+        }
         self.idle.borrow_mut().entry(place.server).or_default().push(idle);
     }
 
