Changes of configuration at the agent: received, put in force, published and read

The state machine of cluster/ had no shell. [configuration] in deploy/fleet.toml (off by default) names the one writer and the service that an agent follows; peers/configuration.rs hands it packets by sender, timers and members, checks what comes and puts it in force or rejects it with key and reason. dilljunction fleet publish and fleet config speak to the operators' address. peers.rs is split (clock, config, events); the operators' address keeps the body of that one call, up to 32 KiB.

Five loopback tests with a real agent pass: a limit acts on both sides and goes again; what can't be used changes nothing.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -70,7 +70,7 @@
         if live.share() {
             tasks.push(task(Rc::clone(&live).run()));
         }
-        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited };
+        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited, target: live };
         let control = Control::start(&core, told).await?;
         Ok(Agent {
             server,
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -5,7 +5,8 @@
 use crate::limits::{Deployment, Limits, LimitsBase, SOCKETS_LEAST};
 use crate::list::ListReply;
 use crate::log::log;
-use crate::peers::{PeerWords, PeersConfig};
+use crate::peers::config::{PeerWords, PeersConfig};
+use crate::peers::configuration::ConfigurationConfig;
 use crate::switches::{read_bounded, LimitsTable, Switches};
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
@@ -141,8 +142,14 @@
             peers: file.peers,
             seed,
         };
-        let peers =
-            switches.fleet.map(|fleet| PeersConfig::new(words, &fleet, switches.trial)).transpose()?;
+        let configuration = switches.configuration.as_ref().map(ConfigurationConfig::new).transpose()?;
+        if configuration.is_some() && switches.fleet.is_none() {
+            return Err(Fault::of_key("configuration", "needs [fleet]: changes go from agent to agent"));
+        }
+        let peers = switches
+            .fleet
+            .map(|fleet| PeersConfig::new(words, &fleet, switches.trial, configuration))
+            .transpose()?;
         let base = LimitsBase { deployment, table: switches.limits.unwrap_or_default() };
         let limits = base.limits(&LimitsTable::default())?;
         let listen = address("listen", over.listen.or(file.listen))?;
--- a/agent/src/configuration/document.rs
+++ b/agent/src/configuration/document.rs
@@ -1,8 +1,10 @@
 //! A published value: a TOML text with the tables that may change while an agent runs.
 
 use crate::fault::Fault;
-use crate::switches::LimitsTable;
+use crate::switches::{read_bounded, LimitsTable};
+use dilljunction_cluster::configuration::VALUE_MOST;
 use serde::Deserialize;
+use std::path::Path;
 
 /// What a value says. Whatever it leaves out is as it was at the agent's start.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
@@ -13,6 +15,17 @@
 }
 
 impl Document {
+    /// Reads the text of a file that is to be published, and checks it as those who put it in force will.
+    pub fn read(path: &Path) -> Result<String, Fault> {
+        let text = read_bounded(path).map_err(|fault| fault.in_file(path))?;
+        if text.len() > VALUE_MOST {
+            let reason = format!("has {} bytes, and a value has {VALUE_MOST} at most", text.len());
+            return Err(Fault::of_all(reason).in_file(path));
+        }
+        Document::parse(&text).map_err(|fault| fault.in_file(path))?;
+        String::from_utf8(text).map_err(|_| Fault::of_all("is not UTF-8 text").in_file(path))
+    }
+
     /// Reads a value; an unknown key or a bad figure is a fault that names key and reason.
     pub fn parse(value: &[u8]) -> Result<Document, Fault> {
         let text = std::str::from_utf8(value).map_err(|_| Fault::of_all("is not UTF-8 text"))?;
--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -4,12 +4,14 @@
 use crate::budget::Budget;
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::configuration::Target;
 use crate::driver::Driver;
 use crate::fronts::admin;
 use crate::lifecycle::LifeCycle;
 use crate::list::Commands;
 use crate::log::log_events;
-use crate::peers::{Peers, PeersConfig};
+use crate::peers::config::PeersConfig;
+use crate::peers::Peers;
 use crate::sources::freshness::Terms;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
@@ -98,6 +100,8 @@
     pub admin: Option<SocketAddr>,
     /// The platform holds the clients' socket: another process of this agent may hold the address for datagrams.
     pub inherited: bool,
+    /// What a change of configuration acts on.
+    pub target: Rc<dyn Target>,
 }
 
 /// The control parts on their sockets; they end when this is dropped.
@@ -124,7 +128,8 @@
         let mut peers = None;
         if let Some(told) = config.peers {
             log_events(told.json());
-            let (started, run) = Peers::start(told, core.driver.clone(), config.inherited).await?;
+            let (started, run) =
+                Peers::start(told, core.driver.clone(), config.target, config.inherited).await?;
             tasks.push(task(run));
             peers = Some(started);
         }
--- a/agent/src/fronts/admin.rs
+++ b/agent/src/fronts/admin.rs
@@ -1,10 +1,13 @@
 //! The operators' door: a few calls that show and change the life of this process. It shares nothing with the clients'
 //! front, so that a crowd there keeps nobody waiting here.
 
+mod configuration;
+
 use crate::clients::Clients;
 use crate::log::log;
+use crate::operators;
 use crate::peers::Peers;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
@@ -28,7 +31,7 @@
 /// The largest head of a call, and its lines.
 const HEAD_MOST: usize = 8 * 1024;
 const HEADERS_MOST: usize = 64;
-/// What a caller sends besides is read and thrown away up to here: a close with bytes unread would take the answer back.
+/// What a caller sends besides is read up to here: a close with bytes unread would take the answer back.
 const BODY_MOST: usize = 64 * 1024;
 const BODY_WAIT: Duration = Duration::from_millis(500);
 /// Pause after an accept that failed for want of descriptors.
@@ -80,8 +83,17 @@
         let (clients, peers) = (Rc::clone(&clients), peers.clone());
         async move {
             let (head, body) = request.into_parts();
-            let answer = answer(&clients, peers.as_deref(), &head.method, head.uri.path());
-            discard(body).await;
+            let path = head.uri.path();
+            let answer = match peers.as_deref() {
+                Some(peers) if path == operators::configuration::PATH && head.method == Method::POST => {
+                    configuration::publish(peers, read(body, configuration::REQUEST_MOST).await)
+                }
+                peers => {
+                    let answer = answer(&clients, peers, &head.method, path);
+                    read(body, 0).await;
+                    answer
+                }
+            };
             Ok::<_, Infallible>(answer)
         }
     });
@@ -90,56 +102,73 @@
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
 
-async fn discard(mut body: Incoming) {
+/// The body of a call; `None` if it is larger than `kept_most`, or did not come whole in time. It is read up to
+/// [`BODY_MOST`] whatever is kept of it.
+async fn read(mut body: Incoming, kept_most: usize) -> Option<Bytes> {
+    let (mut kept, mut length) = (BytesMut::new(), 0);
     let all = async {
-        let mut left = BODY_MOST;
-        while let Some(Ok(frame)) = body.frame().await {
-            let Some(rest) = left.checked_sub(frame.data_ref().map_or(1, Bytes::len)) else { return };
-            left = rest;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            length += data.len();
+            if length > BODY_MOST {
+                return None;
+            }
+            if length <= kept_most {
+                kept.extend_from_slice(&data);
+            }
         }
+        (length <= kept_most).then_some(())
     };
-    let _ = timeout(BODY_WAIT, all).await;
+    timeout(BODY_WAIT, all).await.ok().flatten().map(|()| kept.freeze())
 }
 
 fn answer(clients: &Clients, peers: Option<&Peers>, method: &Method, path: &str) -> Response<Full<Bytes>> {
     let allowed = match path {
         "/healthcheck" => Method::GET,
-        "/fleet" if peers.is_some() => Method::GET,
-        "/fleet" => {
-            return said(StatusCode::NOT_FOUND, "this agent keeps no view of the fleet: [fleet] is off")
+        "/fleet" | operators::configuration::PATH if peers.is_none() => {
+            return no_fleet();
         }
+        // Publishing has been told apart before.
+        "/fleet" | operators::configuration::PATH => Method::GET,
         "/healthcheck/fail" | "/healthcheck/ok" => Method::POST,
-        _ => return said(StatusCode::NOT_FOUND, "no such call"),
+        _ => return text(StatusCode::NOT_FOUND, "no such call"),
     };
     if *method != allowed {
-        let mut answer = said(StatusCode::METHOD_NOT_ALLOWED, "not with this method");
-        let allowed = HeaderValue::from_static(if allowed == Method::GET { "GET" } else { "POST" });
-        answer.headers_mut().insert(ALLOW, allowed);
+        let mut answer = text(StatusCode::METHOD_NOT_ALLOWED, "not with this method");
+        let allowed = match (path, allowed) {
+            (operators::configuration::PATH, _) => "GET, POST",
+            (_, Method::GET) => "GET",
+            _ => "POST",
+        };
+        answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
         return answer;
     }
     match path {
-        "/fleet" => {
-            return peers.map_or_else(|| said(StatusCode::NOT_FOUND, ""), |peers| shown(&peers.describe()))
-        }
+        "/fleet" => return peers.map_or_else(no_fleet, |peers| json(&peers.describe())),
+        operators::configuration::PATH => return peers.map_or_else(no_fleet, configuration::show),
         "/healthcheck/fail" => clients.fail(),
-        "/healthcheck/ok" if clients.ok().is_err() => return said(StatusCode::CONFLICT, "stopping"),
+        "/healthcheck/ok" if clients.ok().is_err() => return text(StatusCode::CONFLICT, "stopping"),
         _ => {}
     }
     let status = match path {
         "/healthcheck" if !clients.takes_clients() => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::OK,
     };
-    said(status, clients.phase().name())
+    text(status, clients.phase().name())
+}
+
+fn no_fleet() -> Response<Full<Bytes>> {
+    text(StatusCode::NOT_FOUND, "this agent keeps no view of the fleet: [fleet] is off")
 }
 
-fn shown(value: &serde_json::Value) -> Response<Full<Bytes>> {
+fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from(value.to_string())));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
 
-fn said(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn text(status: StatusCode, words: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(words.into()));
     *answer.status_mut() = status;
     answer
 }
--- a/agent/src/hollow.rs
+++ b/agent/src/hollow.rs
@@ -2,8 +2,10 @@
 //! own real sockets, and no data path (no listener for clients, no connection to a server, no timer of the balancer).
 
 use crate::config::Config;
+use crate::configuration::NoDataPath;
 use crate::control::{Control, ControlConfig, Core};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// An agent without a data path. It lives on the thread and the [`tokio::task::LocalSet`] on which it was started; when it is
 /// dropped it stops at once, as a process that is killed.
@@ -45,7 +47,8 @@
     /// will ever ask for it.
     pub async fn start(mut config: Config) -> Result<HollowAgent, String> {
         let core = Core::new(&mut config)?;
-        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited: false };
+        let target = Rc::new(NoDataPath);
+        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited: false, target };
         let control = Control::start(&core, told).await?;
         core.commands.follow(true);
         Ok(HollowAgent { control, _core: core })
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -54,4 +54,4 @@
 pub use fault::Fault;
 pub use hollow::{FleetSummary, HollowAgent};
 pub use log::{log, log_events};
-pub use switches::{FleetTable, LimitsTable, Switches, TallyTable, TrialTable};
+pub use switches::{ConfigurationTable, FleetTable, LimitsTable, Switches, TallyTable, TrialTable};
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,6 +1,8 @@
 //! The program: a command line round [`dilljunction_agent`].
 
 use clap::{Parser, Subcommand};
+use dilljunction_agent::configuration::Document;
+use dilljunction_agent::operators::configuration::{PublishRequest, Published, Status, PATH};
 use dilljunction_agent::operators::{self, FleetView};
 use dilljunction_agent::{log, Agent, Config, Switches};
 use std::net::SocketAddr;
@@ -54,6 +56,30 @@
         #[arg(long)]
         json: bool,
     },
+    /// Publish a change of configuration; the agent must be the writer that [configuration] names
+    Publish {
+        /// A TOML text with [limits], as in deploy/limits.toml; at most 4,096 bytes
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// The service whose agents put it in force
+        #[arg(long, value_name = "SERVICE")]
+        key: String,
+        /// Why, for those who read the logs; at most 200 bytes
+        #[arg(long, value_name = "TEXT")]
+        why: String,
+        /// The writer's operators' address
+        #[arg(long, value_name = "ADDR")]
+        admin: SocketAddr,
+    },
+    /// What it holds of changes of configuration, and since when it is in force; on the writer also who lags
+    Config {
+        /// The agent's operators' address
+        #[arg(long, value_name = "ADDR")]
+        admin: SocketAddr,
+        /// As the agent words it, for programs
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -63,9 +89,7 @@
     }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let end = match (runtime, arguments.command) {
-        (Ok(runtime), Some(Task::Fleet { what: FleetTask::Show { admin, json } })) => {
-            runtime.block_on(show(admin, json))
-        }
+        (Ok(runtime), Some(Task::Fleet { what })) => runtime.block_on(fleet(what)),
         (Ok(runtime), _) => LocalSet::new().block_on(&runtime, run(&arguments.with, arguments.trial)),
         (Err(e), _) => Err(format!("cannot start the runtime: {e}")),
     };
@@ -78,6 +102,35 @@
     }
 }
 
+async fn fleet(what: FleetTask) -> Result<(), String> {
+    match what {
+        FleetTask::Show { admin, json } => show(admin, json).await,
+        FleetTask::Publish { file, key, why, admin } => publish(&file, key, why, admin).await,
+        FleetTask::Config { admin, json } => show_configuration(admin, json).await,
+    }
+}
+
+/// Checks a value as the agents will, and sends it to the writer.
+async fn publish(file: &Path, key: String, why: String, admin: SocketAddr) -> Result<(), String> {
+    let value = Document::read(file).map_err(|fault| fault.to_string())?;
+    let request = PublishRequest { key, why, value };
+    let body = serde_json::to_vec(&request).map_err(|e| e.to_string())?;
+    let answer = operators::post(admin, PATH, body.into()).await?;
+    let published: Published = serde_json::from_slice(&answer).map_err(|e| format!("{admin}: {e}"))?;
+    println!("{} version {} digest {}", published.key, published.version, published.digest);
+    Ok(())
+}
+
+async fn show_configuration(admin: SocketAddr, json: bool) -> Result<(), String> {
+    let answer = operators::ask(admin, PATH).await?;
+    if json {
+        println!("{}", String::from_utf8_lossy(&answer));
+    } else {
+        print!("{}", Status::parse(&answer).map_err(|e| format!("{admin}: {e}"))?.table());
+    }
+    Ok(())
+}
+
 async fn show(admin: SocketAddr, json: bool) -> Result<(), String> {
     let answer = operators::ask(admin, "/fleet").await?;
     if json {
--- a/agent/src/operators.rs
+++ b/agent/src/operators.rs
@@ -1,10 +1,12 @@
 //! What the command line asks a running agent at its operators' address, and how it shows the answers.
 
+pub mod configuration;
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use std::fmt::Write;
@@ -20,18 +22,28 @@
 
 /// Asks the agent whose operators' address this is; its answer's body, or one line that says what is wrong.
 pub async fn ask(admin: SocketAddr, path: &str) -> Result<Bytes, String> {
-    let asked = timeout(ANSWER_WAIT, call(admin, path)).await;
+    exchange(admin, Method::GET, path, Bytes::new()).await
+}
+
+/// Sends something to the agent whose operators' address this is.
+pub async fn post(admin: SocketAddr, path: &str, body: Bytes) -> Result<Bytes, String> {
+    exchange(admin, Method::POST, path, body).await
+}
+
+async fn exchange(admin: SocketAddr, method: Method, path: &str, body: Bytes) -> Result<Bytes, String> {
+    let asked = timeout(ANSWER_WAIT, call(admin, method, path, body)).await;
     asked
         .unwrap_or_else(|_| Err(format!("no answer within {ANSWER_WAIT:?}")))
         .map_err(|e| format!("{admin}: {e}"))
 }
 
-async fn call(admin: SocketAddr, path: &str) -> Result<Bytes, String> {
+async fn call(admin: SocketAddr, method: Method, path: &str, body: Bytes) -> Result<Bytes, String> {
     let stream = TcpStream::connect(admin).await.map_err(|e| format!("cannot connect: {e}"))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| format!("not an agent's operators' address: {e}"))?;
-    let request = Request::get(path).header(HOST, admin.to_string()).body(Empty::<Bytes>::new());
+    let request =
+        Request::builder().method(method).uri(path).header(HOST, admin.to_string()).body(Full::new(body));
     let request = request.map_err(|e| e.to_string())?;
     let answer = async {
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -1,22 +1,31 @@
 //! The other agents: one datagram socket, the one timer of what the agents know of one another, and bounds on packets. It
 //! decides nothing; that is `dilljunction_cluster`'s.
 
+mod clock;
+pub mod config;
+pub mod configuration;
+mod events;
+
+use self::clock::Clock;
+use self::config::PeersConfig;
+use self::configuration::{ConfigurationShell, Refusal};
+use self::events::log_event;
 use crate::allowance::Allowance;
+use crate::configuration::Target;
 use crate::driver::Driver;
-use crate::fault::Fault;
 use crate::hollow::FleetSummary;
 use crate::log::log;
-use crate::switches::{FleetTable, TrialTable};
+use crate::operators::configuration::{PublishRequest, Published, Status};
+use crate::switches::TrialTable;
 use crate::tally::Count;
-use dilljunction_cluster::envelope::DATAGRAM_MOST;
-use dilljunction_cluster::member::{Life, Name, Number, NAME_MOST};
-use dilljunction_cluster::view::{Event, Setup, View};
+use dilljunction_cluster::envelope::{open, Room, DATAGRAM_MOST};
+use dilljunction_cluster::view::{Event, View};
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -32,125 +41,21 @@
 /// How often a new process looks whether the old one has let go of the address.
 const BIND_EVERY: Duration = Duration::from_millis(20);
 
-/// What an agent is told of its peers, checked.
-#[derive(Debug, Clone)]
-pub struct PeersConfig {
-    listen: SocketAddr,
-    number: Number,
-    name: Name,
-    peers: Vec<SocketAddr>,
-    seed: u64,
-    trial: TrialTable,
-    json: bool,
-}
-
-/// The words of the configuration that concern peers, unread: where `[fleet]` is off nobody looks at them.
-pub struct PeerWords {
-    /// `settings.limits.peers`.
-    pub allowed: bool,
-    /// `settings.slotNo`.
-    pub number: Option<u16>,
-    /// `name`.
-    pub name: String,
-    /// `peer_listen`.
-    pub listen: Option<serde_json::Value>,
-    /// `peers`.
-    pub peers: Option<serde_json::Value>,
-    /// For random choices.
-    pub seed: u64,
-}
-
-fn read<T: serde::de::DeserializeOwned>(key: &str, value: Option<serde_json::Value>) -> Result<T, Fault> {
-    let value = value.ok_or_else(|| Fault::of_key(key, "is missing, and [fleet] needs it"))?;
-    serde_json::from_value(value).map_err(|e| Fault::of_key(key, e.to_string()))
-}
-
-impl PeersConfig {
-    /// Reads what the platform says of peers.
-    pub fn new(
-        words: PeerWords,
-        fleet: &FleetTable,
-        trial: Option<TrialTable>,
-    ) -> Result<PeersConfig, Fault> {
-        if !words.allowed {
-            let reason = "is false: the platform carries no datagrams between agents, and [fleet] needs them";
-            return Err(Fault::of_key("settings.limits.peers", reason));
-        }
-        let listen = read("peer_listen", words.listen)?;
-        let peers: Vec<SocketAddr> = read("peers", words.peers)?;
-        let number = words.number.ok_or_else(|| {
-            Fault::of_key("settings.slotNo", "is missing: [fleet] needs this agent's place among \"peers\"")
-        })?;
-        let number = Number::try_from(number).map_err(|e| Fault::of_key("settings.slotNo", e.to_string()))?;
-        if usize::from(number.0) >= peers.len() {
-            let reason = format!(
-                "this agent's own address is not among them: its number is {number}, and there are {}",
-                peers.len()
-            );
-            return Err(Fault::of_key("peers", reason));
-        }
-        let name = Name::new(&words.name).map_err(|_| {
-            Fault::of_key("name", format!("is longer than {NAME_MOST} bytes, which [fleet] can't carry"))
-        })?;
-        let trial = trial.unwrap_or_default();
-        let config = PeersConfig { listen, number, name, peers, seed: words.seed, trial, json: fleet.json };
-        config.setup(0).check().map_err(|e| Fault::of_key("peers", e.to_string()))?;
-        Ok(config)
-    }
-
-    /// Whether event lines are JSON.
-    pub fn json(&self) -> bool {
-        self.json
-    }
-
-    fn setup(&self, unix_ms: u64) -> Setup {
-        let life = Life::from_unix_ms(unix_ms);
-        Setup {
-            number: self.number,
-            name: self.name.clone(),
-            life,
-            peers: self.peers.clone(),
-            // Agents may have one seed, or none: they must not all ask the same member at the same moment.
-            seed: self.seed ^ (u64::from(self.number.0) << 48) ^ unix_ms,
-        }
-    }
-}
-
-/// All of the cluster's time: monotonic, from the start of this process, and for a trial at a wrong rate.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: Instant,
-    rate: f64,
-    wall_step_ms: i64,
-}
-
-impl Clock {
-    fn now(&self) -> Duration {
-        self.start.elapsed().mul_f64(self.rate)
-    }
-
-    fn instant(&self, at: Duration) -> Instant {
-        // Rounded up, or a timer would be looked at a moment before it is due, over and over.
-        self.start + at.div_f64(self.rate) + Duration::from_micros(1)
-    }
-
-    fn unix_ms(&self) -> u64 {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        (unix.as_millis() as u64).saturating_add_signed(self.wall_step_ms)
-    }
-}
-
 /// The agents as this one knows them.
 pub struct Peers {
     config: PeersConfig,
     clock: Clock,
     view: RefCell<View>,
+    /// Changes of configuration, where they are switched on.
+    shell: RefCell<Option<ConfigurationShell>>,
+    target: Rc<dyn Target>,
     driver: Driver,
     /// Where it listens, once it does.
     address: Cell<Option<SocketAddr>>,
     told: Cell<Option<usize>>,
     ended: Cell<bool>,
-    end: Notify,
+    /// Rings when there is something to do besides packets and time.
+    wake: Notify,
 }
 
 impl Peers {
@@ -159,10 +64,11 @@
     pub async fn start(
         config: PeersConfig,
         driver: Driver,
+        target: Rc<dyn Target>,
         inherited: bool,
     ) -> Result<(Rc<Peers>, impl std::future::Future<Output = ()>), String> {
         let TrialTable { clock_rate, wall_step_ms, .. } = config.trial;
-        let clock = Clock { start: Instant::now(), rate: clock_rate, wall_step_ms };
+        let clock = Clock::start(clock_rate, wall_step_ms);
         if config.trial != TrialTable::default() {
             log(&format!("a trial, not for service: {}", config.trial));
         }
@@ -174,11 +80,26 @@
         let view = View::new(config.setup(clock.unix_ms()), clock.now()).map_err(|e| e.to_string())?;
         let (view, told, ended) = (RefCell::new(view), Cell::new(None), Cell::new(false));
         let address = Cell::new(socket.as_ref().and_then(|socket| socket.local_addr().ok()));
-        let peers = Rc::new(Peers { config, clock, view, driver, address, told, ended, end: Notify::new() });
+        let (shell, wake) = (RefCell::new(None), Notify::new());
+        let peers = Peers { config, clock, view, shell, target, driver, address, told, ended, wake };
+        let peers = Rc::new(peers);
+        peers.start_configuration();
         let run = Rc::clone(&peers).run(socket);
         Ok((peers, run))
     }
 
+    /// Takes and publishes changes of configuration from here on, knowing none.
+    fn start_configuration(&self) {
+        let (number, now) = (self.config.number, self.clock.now());
+        let seed = self.config.setup(self.clock.unix_ms()).seed;
+        let shell = self
+            .config
+            .configuration
+            .clone()
+            .map(|config| ConfigurationShell::new(config, number, seed, Rc::clone(&self.target), now));
+        *self.shell.borrow_mut() = shell;
+    }
+
     async fn run(self: Rc<Self>, socket: Option<UdpSocket>) {
         let socket = match socket {
             Some(socket) => socket,
@@ -187,6 +108,7 @@
                 // This life begins now: until here the fleet has heard the old process.
                 if let Ok(view) = View::new(self.config.setup(self.clock.unix_ms()), self.clock.now()) {
                     *self.view.borrow_mut() = view;
+                    self.start_configuration();
                 }
                 socket
             }
@@ -198,22 +120,47 @@
         let mut allowance = Allowance::new(SEND_BURST, SEND_PER_SECOND, std::time::Instant::now());
         let mut resting_until = None;
         while !self.ended.get() {
-            let due = self.view.borrow().next_timer().map(|at| self.clock.instant(at));
+            let due = self.next_timer().map(|at| self.clock.instant(at));
             tokio::select! {
-                () = until(due) => self.view.borrow_mut().handle_timeout(self.clock.now()),
+                () = until(due) => self.handle_timeout(),
                 () = until(resting_until), if resting_until.is_some() => resting_until = None,
                 _ = socket.readable(), if resting_until.is_none() => {
                     if self.read_some(&socket) {
                         resting_until = Some(Instant::now() + READ_PAUSE);
                     }
                 }
-                () = self.end.notified() => {}
+                () = self.wake.notified() => {}
             }
-            self.write_all(&socket, &mut allowance);
+            // What the view tells comes first: the configuration goes by who is there.
             self.tell();
+            self.write_all(&socket, &mut allowance);
+        }
+    }
+
+    fn next_timer(&self) -> Option<Duration> {
+        let of_shell = self.shell.borrow().as_ref().and_then(ConfigurationShell::next_timer);
+        [self.view.borrow().next_timer(), of_shell].into_iter().flatten().min()
+    }
+
+    fn handle_timeout(&self) {
+        let now = self.clock.now();
+        self.view.borrow_mut().handle_timeout(now);
+        if let Some(shell) = &mut *self.shell.borrow_mut() {
+            shell.handle_timeout(now);
         }
     }
 
+    /// Hands a packet to the state machine that it is for; false if it was dropped.
+    fn handle_packet(&self, from: SocketAddr, packet: &[u8]) -> bool {
+        let now = self.clock.now();
+        if let Some(shell) = &mut *self.shell.borrow_mut() {
+            if let Ok((Room::Configuration, body)) = open(packet) {
+                return shell.handle_packet(now, from, body).is_ok();
+            }
+        }
+        self.view.borrow_mut().handle_packet(now, from, packet).is_ok()
+    }
+
     /// Waits until the old process has let go of the address; `None` if this one ends before that.
     async fn take_over(&self) -> Option<UdpSocket> {
         while !self.ended.get() {
@@ -230,19 +177,17 @@
         let mut packet = [0; DATAGRAM_MOST + 1];
         for _ in 0..READ_AT_ONCE {
             let Ok((length, from)) = socket.try_recv_from(&mut packet) else { return false };
-            let taken = self.view.borrow_mut().handle_packet(self.clock.now(), from, &packet[..length]);
-            self.driver.tally().count(if taken.is_ok() {
-                Count::PeerPacket
-            } else {
-                Count::PeerPacketDropped
-            });
+            let taken = self.handle_packet(from, &packet[..length]);
+            self.driver.tally().count(if taken { Count::PeerPacket } else { Count::PeerPacketDropped });
         }
         true
     }
 
     fn write_all(&self, socket: &UdpSocket, allowance: &mut Allowance) {
-        let view = &mut *self.view.borrow_mut();
-        while let Some((to, packet)) = view.poll_packet() {
+        let (view, shell) = (&mut *self.view.borrow_mut(), &mut *self.shell.borrow_mut());
+        let mut next =
+            || view.poll_packet().or_else(|| shell.as_mut().and_then(ConfigurationShell::poll_packet));
+        while let Some((to, packet)) = next() {
             // What is not sent is lost, as any datagram may be; everything in it is said again.
             if allowance.take(std::time::Instant::now()).is_some() && socket.try_send_to(&packet, to).is_ok()
             {
@@ -251,13 +196,21 @@
         }
     }
 
-    /// Hands on what the view has told: to the log, and to the module how many agents share the servers.
+    /// Hands on what the view has told: to the log, to the configuration who is there, and to the module how many agents
+    /// share the servers. Puts in force what has come.
     fn tell(&self) {
-        let view = &mut *self.view.borrow_mut();
+        let (view, shell) = (&mut *self.view.borrow_mut(), &mut *self.shell.borrow_mut());
+        let now = self.clock.now();
         while let Some(event) = view.poll_event() {
             log_event(&event);
+            if let (Some(shell), Event::Member(change, who)) = (shell.as_mut(), &event) {
+                shell.member(*change, who);
+            }
+        }
+        if let Some(shell) = shell {
+            shell.settle(now);
         }
-        let number = view.is_sure(self.clock.now()).then(|| view.size());
+        let number = view.is_sure(now).then(|| view.size());
         if self.told.replace(number) != number {
             self.driver.balancers(number.map(|n| n as u32));
         }
@@ -270,7 +223,19 @@
             self.view.borrow_mut().leave(self.clock.now());
         }
         self.ended.set(true);
-        self.end.notify_one();
+        self.wake.notify_one();
+    }
+
+    /// Publishes a change of configuration; `None` where those are off.
+    pub fn publish(&self, request: &PublishRequest) -> Option<Result<Published, Refusal>> {
+        let published = self.shell.borrow_mut().as_mut()?.publish(self.clock.now(), request);
+        self.wake.notify_one();
+        Some(published)
+    }
+
+    /// The configuration, as operators read it; `None` where changes of it are off.
+    pub fn describe_configuration(&self) -> Option<Status> {
+        Some(self.shell.borrow().as_ref()?.describe(self.clock.now()))
     }
 
     /// Where other agents reach this one; nothing while another process of this agent holds the address.
@@ -309,42 +274,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn log_event(event: &Event) {
-    match event {
-        Event::Member(change, who) => {
-            let (number, life, name) = (who.number.0, u64::from(who.life), who.name.as_str());
-            tracing::info!(target: "fleet", event = change.word(), number, life, name);
-        }
-        Event::Sure(true) => tracing::info!(target: "fleet", event = "sure"),
-        Event::Sure(false) => tracing::warn!(target: "fleet", event = "unsure"),
-        Event::WentAbove { known, life } => {
-            let (known, life) = (u64::from(*known), u64::from(*life));
-            tracing::warn!(target: "fleet", event = "went-above", known, life);
-        }
-        Event::CalledGone => tracing::warn!(target: "fleet", event = "called-gone"),
-        Event::Yielded { to } => tracing::error!(target: "fleet", event = "yielded", to = u64::from(*to)),
-        Event::Late(by) => tracing::warn!(target: "fleet", event = "late", ms = by.as_millis() as u64),
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn agents_without_a_seed_of_their_own_draw_differently() {
-        let of = |number: u16, unix_ms| {
-            let words = PeerWords {
-                allowed: true,
-                number: Some(number),
-                name: "n".into(),
-                listen: Some(json!("127.0.0.1:0")),
-                peers: Some(json!(["127.0.0.1:1", "127.0.0.1:2"])),
-                seed: 0,
-            };
-            PeersConfig::new(words, &FleetTable::default(), None).unwrap().setup(unix_ms).seed
-        };
-        assert!(of(0, 1) != of(1, 1) && of(0, 1) != of(0, 2));
-    }
-}
--- /dev/null
+++ b/agent/src/peers/config.rs
@@ -0,0 +1,122 @@
+//! What an agent is told of its peers.
+
+use super::configuration::ConfigurationConfig;
+use crate::fault::Fault;
+use crate::switches::{FleetTable, TrialTable};
+use dilljunction_cluster::member::{Life, Name, Number, NAME_MOST};
+use dilljunction_cluster::view::Setup;
+use std::net::SocketAddr;
+
+/// What an agent is told of its peers, checked.
+#[derive(Debug, Clone)]
+pub struct PeersConfig {
+    /// Where it takes datagrams.
+    pub(super) listen: SocketAddr,
+    /// Its place among the peers.
+    pub(super) number: Number,
+    name: Name,
+    peers: Vec<SocketAddr>,
+    seed: u64,
+    /// Wrong clocks, for tests.
+    pub(super) trial: TrialTable,
+    json: bool,
+    /// Changes of configuration, where they are switched on.
+    pub(super) configuration: Option<ConfigurationConfig>,
+}
+
+/// The words of the configuration that concern peers, unread: where `[fleet]` is off nobody looks at them.
+pub struct PeerWords {
+    /// `settings.limits.peers`.
+    pub allowed: bool,
+    /// `settings.slotNo`.
+    pub number: Option<u16>,
+    /// `name`.
+    pub name: String,
+    /// `peer_listen`.
+    pub listen: Option<serde_json::Value>,
+    /// `peers`.
+    pub peers: Option<serde_json::Value>,
+    /// For random choices.
+    pub seed: u64,
+}
+
+fn read<T: serde::de::DeserializeOwned>(key: &str, value: Option<serde_json::Value>) -> Result<T, Fault> {
+    let value = value.ok_or_else(|| Fault::of_key(key, "is missing, and [fleet] needs it"))?;
+    serde_json::from_value(value).map_err(|e| Fault::of_key(key, e.to_string()))
+}
+
+impl PeersConfig {
+    /// Reads what the platform says of peers.
+    pub fn new(
+        words: PeerWords,
+        fleet: &FleetTable,
+        trial: Option<TrialTable>,
+        configuration: Option<ConfigurationConfig>,
+    ) -> Result<PeersConfig, Fault> {
+        if !words.allowed {
+            let reason = "is false: the platform carries no datagrams between agents, and [fleet] needs them";
+            return Err(Fault::of_key("settings.limits.peers", reason));
+        }
+        let listen = read("peer_listen", words.listen)?;
+        let peers: Vec<SocketAddr> = read("peers", words.peers)?;
+        let number = words.number.ok_or_else(|| {
+            Fault::of_key("settings.slotNo", "is missing: [fleet] needs this agent's place among \"peers\"")
+        })?;
+        let number = Number::try_from(number).map_err(|e| Fault::of_key("settings.slotNo", e.to_string()))?;
+        if usize::from(number.0) >= peers.len() {
+            let reason = format!(
+                "this agent's own address is not among them: its number is {number}, and there are {}",
+                peers.len()
+            );
+            return Err(Fault::of_key("peers", reason));
+        }
+        let name = Name::new(&words.name).map_err(|_| {
+            Fault::of_key("name", format!("is longer than {NAME_MOST} bytes, which [fleet] can't carry"))
+        })?;
+        let trial = trial.unwrap_or_default();
+        let (seed, json) = (words.seed, fleet.json);
+        let config = PeersConfig { listen, number, name, peers, seed, trial, json, configuration };
+        config.setup(0).check().map_err(|e| Fault::of_key("peers", e.to_string()))?;
+        Ok(config)
+    }
+
+    /// Whether event lines are JSON.
+    pub fn json(&self) -> bool {
+        self.json
+    }
+
+    /// What a member is told that starts at this time.
+    pub(super) fn setup(&self, unix_ms: u64) -> Setup {
+        let life = Life::from_unix_ms(unix_ms);
+        Setup {
+            number: self.number,
+            name: self.name.clone(),
+            life,
+            peers: self.peers.clone(),
+            // Agents may have one seed, or none: they must not all ask the same member at the same moment.
+            seed: self.seed ^ (u64::from(self.number.0) << 48) ^ unix_ms,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn agents_without_a_seed_of_their_own_draw_differently() {
+        let of = |number: u16, unix_ms| {
+            let words = PeerWords {
+                allowed: true,
+                number: Some(number),
+                name: "n".into(),
+                listen: Some(json!("127.0.0.1:0")),
+                peers: Some(json!(["127.0.0.1:1", "127.0.0.1:2"])),
+                seed: 0,
+            };
+            PeersConfig::new(words, &FleetTable::default(), None, None).unwrap().setup(unix_ms).seed
+        };
+        assert!(of(0, 1) != of(1, 1) && of(0, 1) != of(0, 2));
+    }
+}
--- a/agent/src/switches.rs
+++ b/agent/src/switches.rs
@@ -27,6 +27,8 @@
     pub tally: Option<TallyTable>,
     /// `[fleet]`, see `deploy/fleet.toml`.
     pub fleet: Option<FleetTable>,
+    /// `[configuration]`, see `deploy/fleet.toml`.
+    pub configuration: Option<ConfigurationTable>,
     /// `[trial]`: not for service, and refused without `--trial`.
     pub trial: Option<TrialTable>,
 }
@@ -40,6 +42,16 @@
     pub json: bool,
 }
 
+/// One agent publishes changes of configuration, and the others put them in force while they run.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigurationTable {
+    /// The number of the one agent that publishes.
+    pub writer: u16,
+    /// The service whose changes this agent puts in force; without one it passes all on and follows none.
+    pub service: Option<String>,
+}
+
 /// What tests of many processes make wrong with one of them. All of the cluster's time goes through one clock; this is it.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -114,6 +126,7 @@
             limits: only("limits", self.limits, other.limits)?,
             tally: only("tally", self.tally, other.tally)?,
             fleet: only("fleet", self.fleet, other.fleet)?,
+            configuration: only("configuration", self.configuration, other.configuration)?,
             trial: only("trial", self.trial, other.trial)?,
         })
     }
@@ -195,6 +208,7 @@
             Switches::read_all(&["limits.toml", "tally.toml", "fleet.toml"].map(|file| deploy.join(file)));
         let all = all.expect("usable, also together");
         assert!(all.limits.is_some() && all.tally.is_some() && all.fleet.is_some() && all.trial.is_none());
+        assert!(all.configuration.is_none(), "off until somebody names the writer");
         assert_eq!(Switches::parse("").expect("usable"), Switches::default());
     }
 
@@ -211,6 +225,9 @@
             ("[tally]", "tally", "missing field"),
             ("[fleet]\njsn = true", "fleet.jsn", "unknown field"),
             ("[fleet]\njson = 1", "fleet.json", "invalid type"),
+            ("[configuration]", "configuration", "missing field `writer`"),
+            ("[configuration]\nwriter = -1", "configuration.writer", "invalid value"),
+            ("[configuration]\nwriter = 0\nkey = \"x\"", "configuration.key", "unknown field"),
             ("[trial]\nclock_rate = 3.0", "trial.clock_rate", "between 0.5 and 2"),
             ("[trial]\nclock_rate = nan", "trial.clock_rate", "between 0.5 and 2"),
             ("[trial]\nwall_step_ms = -9223372036854775808", "trial.wall_step_ms", "at most"),
@@ -226,7 +243,14 @@
 
     #[test]
     fn a_table_in_two_files_is_a_fault() {
-        for text in ["[limits]\nclient_connections = 9", "[tally]\nevery_ms = 900", "[fleet]", "[trial]"] {
+        let configuration = "[configuration]\nwriter = 0";
+        for text in [
+            "[limits]\nclient_connections = 9",
+            "[tally]\nevery_ms = 900",
+            "[fleet]",
+            configuration,
+            "[trial]",
+        ] {
             let one = Switches::parse(text).expect("usable");
             assert!(one.clone().with(one.clone()).is_err(), "{text}");
             assert_eq!(one.clone().with(Switches::default()).expect("usable"), one);
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod clients;
+mod configuration;
 mod crossings;
 mod drains;
 mod fleet;
