--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -202,20 +202,30 @@
     state: String,
 }
 
-/// An answer's body at an operators' address, if its status is 200.
-async fn get(admin: SocketAddr, path: &str) -> Option<Vec<u8>> {
+/// The status and the body of an answer at an operators' address, if it comes.
+pub async fn answer(admin: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, Vec<u8>)> {
     let ask = async {
         let mut stream = TcpStream::connect(admin).await.ok()?;
-        let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        let length = body.len();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+        );
         stream.write_all(text.as_bytes()).await.ok()?;
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).await.ok()?;
         let end = answer.windows(4).position(|w| w == b"\r\n\r\n")?;
-        answer.starts_with(b"HTTP/1.1 200").then(|| answer.split_off(end + 4))
+        let status = answer.strip_prefix(b"HTTP/1.1 ")?.get(..3)?;
+        let status = std::str::from_utf8(status).ok()?.parse().ok()?;
+        Some((status, answer.split_off(end + 4)))
     };
     timeout(VIEW_WAIT, ask).await.ok()?
 }
 
+/// An answer's body at an operators' address, if its status is 200.
+async fn get(admin: SocketAddr, path: &str) -> Option<Vec<u8>> {
+    answer(admin, "GET", path, "").await.filter(|(status, _)| *status == 200).map(|(_, body)| body)
+}
+
 /// True if the process there takes clients.
 pub async fn takes_clients(admin: SocketAddr) -> bool {
     says_yes(admin, "/healthcheck").await
--- a/lab/src/fleet/switch.rs
+++ b/lab/src/fleet/switch.rs
@@ -17,6 +17,9 @@
 /// Larger than any datagram that an agent may send, so that one that is too long is carried on as it is.
 const DATAGRAM_MOST: usize = 2_048;
 
+/// What goes on in place of a packet.
+type Change = Box<dyn FnMut(Vec<u8>) -> Vec<u8> + Send>;
+
 struct Inner {
     net: Mutex<Net>,
     publics: Vec<UdpSocket>,
@@ -24,6 +27,8 @@
     members: Mutex<Vec<Option<SocketAddr>>>,
     /// The one that is broken on purpose: here its packets are changed.
     broken: Mutex<Option<Broken>>,
+    /// What is sent in place of a member's packets.
+    changed: Mutex<Option<(usize, Change)>>,
     start: Instant,
 }
 
@@ -47,7 +52,8 @@
         }
         let members = Mutex::new(vec![None; agents]);
         let (net, broken) = (Mutex::new(Net::new(agents, seed)), Mutex::new(flaw.map(Broken::new)));
-        let inner = Arc::new(Inner { net, publics, members, broken, start: Instant::now() });
+        let changed = Mutex::new(None);
+        let inner = Arc::new(Inner { net, publics, members, broken, changed, start: Instant::now() });
         let mut tasks = JoinSet::new();
         for to in 0..agents {
             tasks.spawn(carry(Arc::clone(&inner), to));
@@ -76,6 +82,11 @@
         self.inner.broken(member, act)
     }
 
+    /// From now on the packets of this member are changed on their way.
+    pub fn change_packets(&self, member: usize, change: impl FnMut(Vec<u8>) -> Vec<u8> + Send + 'static) {
+        *lock(&self.inner.changed) = Some((member, Box::new(change)));
+    }
+
     /// The seconds since the switch was started, by which faults of the network are timed.
     pub fn now(&self) -> f64 {
         self.inner.start.elapsed().as_secs_f64()
@@ -117,7 +128,11 @@
         let Some(from) = from else { continue };
         let sent = &bytes[..length];
         let changed = inner.broken(from, |broken| broken.sends(sent.to_vec()));
-        let packet = Packet { from, to, bytes: changed.unwrap_or_else(|| sent.to_vec()) };
+        let mut bytes = changed.unwrap_or_else(|| sent.to_vec());
+        if let Some((_, change)) = lock(&inner.changed).as_mut().filter(|(member, _)| *member == from) {
+            bytes = change(bytes);
+        }
+        let packet = Packet { from, to, bytes };
         let copies = lock(&inner.net).carry(&packet, inner.start.elapsed().as_secs_f64());
         for late in copies {
             if late.is_zero() {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod emulate;
 pub mod fleet;
 pub mod judge;
+pub mod publishing;
 pub mod scale;
 pub mod show;
 pub mod standins;
--- /dev/null
+++ b/lab/src/publishing/measure.rs
@@ -0,0 +1,1 @@
+//! How long it takes from publishing a change until it is in force.
