--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
 mod fleet_command;
+mod publishing_command;
 mod scale_command;
 
 use clap::{Args, Parser, Subcommand};
@@ -92,6 +93,8 @@
     Fleet(FleetArguments),
     /// A large fleet of a few real agents and many hollow ones: measured, judged, and set beside what is predicted
     Scale(ScaleArguments),
+    /// How long a change of configuration takes among real agents, from the request to publish until it is in force
+    ConfigurationReal(publishing_command::PublishingArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -277,6 +280,7 @@
         }
         Some(Task::Tally { folder }) => tally(&folder),
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
+        Some(Task::ConfigurationReal(arguments)) => publishing_command::run(arguments).await,
         Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
--- a/lab/src/publishing/rig.rs
+++ b/lab/src/publishing/rig.rs
@@ -76,7 +76,9 @@
             switch.change_packets(member, move |packet| tampering.change(packet));
         }
         let peers = switch.addresses()?;
-        let ground = Ground { program, fleet_file, folder, peers, knows: Knows::All, seed };
+        // Nobody listens there: the list in the configuration is enough.
+        let discovery = SocketAddr::from(([127, 0, 0, 1], 9));
+        let ground = Ground { program, fleet_file, folder, peers, knows: Knows::All, discovery, seed };
         let listen = || TcpListener::bind("127.0.0.1:0").map_err(|e| format!("no socket to hold: {e}"));
         let slot = |agent| {
             Ok(Slot { process: None, starts: 0, listener: (agent == HELD).then(listen).transpose()? })
