--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `dilljunction-lab`: see agents work, and see what they do when something fails.
 
+mod configuration_command;
 mod fleet_command;
 mod publishing_command;
 mod scale_command;
@@ -95,6 +96,8 @@
     Scale(ScaleArguments),
     /// How long a change of configuration takes among real agents, from the request to publish until it is in force
     ConfigurationReal(publishing_command::PublishingArguments),
+    /// What changes of configuration take and cost in a fleet, in virtual time
+    Configuration(configuration_command::ConfigurationArguments),
     /// List the worlds that come with the lab
     Worlds,
 }
@@ -282,6 +285,7 @@
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
         Some(Task::ConfigurationReal(arguments)) => publishing_command::run(arguments).await,
         Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
+        Some(Task::Configuration(arguments)) => configuration_command::run(&arguments),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
                 let world = World::find(name)?;
