A writer that finds nobody does not take that for an empty fleet

A writer that started while cut off was told of no members, and so had learnt from all of them after two seconds: it would have published from version 1. The shell names members to it only once its view has been sure.

--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -207,10 +207,11 @@
                 shell.member(*change, who);
             }
         }
+        let is_sure = view.is_sure(now);
         if let Some(shell) = shell {
-            shell.settle(now);
+            shell.settle(now, is_sure);
         }
-        let number = view.is_sure(now).then(|| view.size());
+        let number = is_sure.then(|| view.size());
         if self.told.replace(number) != number {
             self.driver.balancers(number.map(|n| n as u32));
         }
--- a/agent/src/peers/configuration.rs
+++ b/agent/src/peers/configuration.rs
@@ -89,6 +89,9 @@
     machine: Configuration,
     target: Rc<dyn Target>,
     members: AddressBook,
+    /// The view has been sure once. A writer that has not found most of its fleet has nobody to learn from, and must not take
+    /// that for an empty fleet.
+    was_sure: bool,
 }
 
 impl ConfigurationShell {
@@ -102,7 +105,7 @@
     ) -> ConfigurationShell {
         let machine = Configuration::new(Setup { me, writer: Some(config.writer), seed }, now);
         let members = AddressBook { is_changed: true, ..AddressBook::default() };
-        ConfigurationShell { config, me, machine, target, members }
+        ConfigurationShell { config, me, machine, target, members, was_sure: false }
     }
 
     /// Something has become of a member.
@@ -138,8 +141,10 @@
     }
 
     /// Tells the state machine who is there, puts in force what has come, and writes the log.
-    pub fn settle(&mut self, now: Duration) {
-        if std::mem::take(&mut self.members.is_changed) {
+    pub fn settle(&mut self, now: Duration, is_sure: bool) {
+        self.was_sure |= is_sure;
+        let may_tell = self.was_sure || self.config.writer != self.me;
+        if may_tell && std::mem::take(&mut self.members.is_changed) {
             let present: Vec<Number> = self.members.addresses.keys().copied().collect();
             self.machine.set_members(&present);
         }
--- a/agent/tests/configuration.rs
+++ b/agent/tests/configuration.rs
@@ -1,5 +1,6 @@
 //! Changes of configuration among real processes, with faults between them.
 
+use dilljunction_cluster::configuration::pace::LEARN_FOR;
 use dilljunction_lab::fleet::plan::Kind;
 use dilljunction_lab::publishing::rig::{in_force, Rig, Setup, HELD, WRITER};
 use dilljunction_lab::publishing::tamper::Tampering;
@@ -147,7 +148,12 @@
             rig.until_in_force(&all, last, BOUND).await.unwrap();
         }
         rig.kill(WRITER).await;
+        // It finds nobody at first, for longer than it has to listen: that is no empty fleet.
+        rig.begin(Kind::Partition, &[WRITER], 0.0);
         rig.start_agent(WRITER).await.unwrap();
+        tokio::time::sleep(LEARN_FOR * 2).await;
+        assert_eq!(rig.publish(WRITER, &clients(125)).await.unwrap_err().status, 503);
+        rig.end(Kind::Partition);
         // The judge sees that no version is published twice.
         let above = publish(&mut rig, &clients(130)).await;
         assert!(above > last, "{above} after {last}");
--- a/lab/src/publishing_command.rs
+++ b/lab/src/publishing_command.rs
@@ -31,11 +31,18 @@
     /// For all that is random
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// What a reader has to know, such as other load on the machine
+    #[arg(long, value_name = "TEXT")]
+    note: Vec<String>,
     /// The folder that the measurement goes to; without it nothing is written
     #[arg(long, value_name = "FOLDER")]
     out: Option<PathBuf>,
 }
 
+/// How the times were taken.
+const METHOD: &str =
+    "values of 400 bytes, one change at a time; each agent says itself since when a change is in force (1 ms)";
+
 /// Measures every size; false if a change took longer than is needed.
 pub async fn run(arguments: PublishingArguments) -> Result<bool, String> {
     let PublishingArguments { members, held_out, repeats, changes, loss, seed, .. } = &arguments;
@@ -83,9 +90,7 @@
         date: provenance::today(),
         driver: "members".into(),
         series: series(&runs, held_out),
-        notes: vec![
-            "values of 400 bytes, one change at a time; each agent says itself since when a change is in force (1 ms)".into(),
-        ],
+        notes: [vec![METHOD.into()], arguments.note.clone()].concat(),
     };
     print!("{}", table(&measurement));
     if let Some(folder) = &arguments.out {
