--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -2,14 +2,13 @@
 
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::configuration::live::{Connections, LiveLimits};
 use crate::control::{length, listen, task, Control, ControlConfig, Core, Task};
-use crate::driver::Driver;
 use crate::fronts::plain::intake::{Catalogue, Class};
 use crate::fronts::plain::server::Server;
-use crate::lifecycle::Phase;
 use crate::list::Commands;
 use crate::log::log;
-use crate::share::file::{Holds, Share};
+use crate::share::file::Share;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -49,7 +48,7 @@
         let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
         let bodies = Rc::clone(&core.bodies);
         let catalogue = Catalogue { classes: classes.collect(), tenants: file.tenant_names(), bodies };
-        let room = (config.client_connections, config.client_crowd);
+        let room = (config.limits.client_connections, config.limits.client_crowd);
         let server = Server::new(driver.clone(), Rc::clone(&clients), catalogue, room);
         let tally = config.tally_every.map(|every| {
             driver.tally().switch_on();
@@ -62,19 +61,16 @@
             None => listen(config.listen).await?,
         };
         let address = listener.local_addr().map_err(|e| e.to_string())?;
-        if inherited {
-            // Two processes are one agent for a while.
-            let whole = (config.client_connections, config.backend_connections);
-            let mut share = Share::new(&std::env::temp_dir(), address, whole);
-            let connections = Connections {
-                server: Rc::clone(&server),
-                clients: Rc::clone(&clients),
-                driver: driver.clone(),
-            };
-            share.step(&connections);
-            tasks.push(task(share.run(connections)));
+        let whole = (config.limits.client_connections, config.limits.server_connections);
+        // Two processes are one agent for a while.
+        let share = inherited.then(|| Share::new(&std::env::temp_dir(), address, whole));
+        let connections =
+            Connections { server: Rc::clone(&server), clients: Rc::clone(&clients), driver: driver.clone() };
+        let live = Rc::new(LiveLimits::new(config.base, connections, Rc::clone(&core.bodies), share));
+        if live.share() {
+            tasks.push(task(Rc::clone(&live).run()));
         }
-        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited };
+        let told = ControlConfig { peers: config.peers, admin: config.admin, inherited, target: live };
         let control = Control::start(&core, told).await?;
         Ok(Agent {
             server,
@@ -150,25 +146,3 @@
         }
     }
 }
-
-/// What this process holds, for the other one of its agent.
-struct Connections {
-    server: Rc<Server>,
-    clients: Rc<Clients>,
-    driver: Driver,
-}
-
-impl Holds for Connections {
-    fn held(&self) -> (usize, usize) {
-        (self.server.connections(), self.driver.pool().count())
-    }
-
-    fn allow(&self, clients: usize, servers: usize) {
-        self.server.allow(clients);
-        self.driver.pool().allow(servers);
-    }
-
-    fn is_leaving(&self) -> bool {
-        matches!(self.clients.phase(), Phase::Stopping(_) | Phase::HandingOver(_))
-    }
-}
--- a/agent/src/control.rs
+++ b/agent/src/control.rs
@@ -4,12 +4,14 @@
 use crate::budget::Budget;
 use crate::clients::Clients;
 use crate::config::Config;
+use crate::configuration::Target;
 use crate::driver::Driver;
 use crate::fronts::admin;
 use crate::lifecycle::LifeCycle;
 use crate::list::Commands;
 use crate::log::log_events;
-use crate::peers::{Peers, PeersConfig};
+use crate::peers::config::PeersConfig;
+use crate::peers::Peers;
 use crate::sources::freshness::Terms;
 use crate::sources::platform;
 use crate::upstream::backend::Backends;
@@ -70,9 +72,9 @@
         // The protocol lets every refusal say when to come back.
         let settings = Settings { retry_after: true, ..file.settings() };
         let longest = length(settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default());
-        let bodies = Budget::new(config.body_bytes);
+        let bodies = Budget::new(config.limits.body_bytes);
         let pool = Pool::new(
-            config.backend_connections,
+            config.limits.server_connections,
             length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
             length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
         );
@@ -98,6 +100,8 @@
     pub admin: Option<SocketAddr>,
     /// The platform holds the clients' socket: another process of this agent may hold the address for datagrams.
     pub inherited: bool,
+    /// What a change of configuration acts on.
+    pub target: Rc<dyn Target>,
 }
 
 /// The control parts on their sockets; they end when this is dropped.
@@ -124,7 +128,8 @@
         let mut peers = None;
         if let Some(told) = config.peers {
             log_events(told.json());
-            let (started, run) = Peers::start(told, core.driver.clone(), config.inherited).await?;
+            let (started, run) =
+                Peers::start(told, core.driver.clone(), config.target, config.inherited).await?;
             tasks.push(task(run));
             peers = Some(started);
         }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod configuration_command;
 mod fleet_command;
 mod measure_command;
+mod publishing_command;
 mod scale_command;
 
 use clap::{Args, Parser, Subcommand};
@@ -99,6 +100,8 @@
     Measure(measure_command::MeasureArguments),
     /// A large fleet of a few real agents and many hollow ones: measured, judged, and set beside what is predicted
     Scale(ScaleArguments),
+    /// How long a change of configuration takes among real agents, from the request to publish until it is in force
+    ConfigurationReal(publishing_command::PublishingArguments),
     /// What changes of configuration take and cost in a fleet, in virtual time
     Configuration(configuration_command::ConfigurationArguments),
     /// List the worlds that come with the lab
@@ -305,6 +308,7 @@
         Some(Task::Fleet(arguments)) => fleet_command::run(arguments).await,
         Some(Task::Capacity(arguments)) => capacity_command::run(&arguments),
         Some(Task::Measure(arguments)) => measure_command::run(arguments).await,
+        Some(Task::ConfigurationReal(arguments)) => publishing_command::run(arguments).await,
         Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
         Some(Task::Configuration(arguments)) => configuration_command::run(&arguments),
         Some(Task::Worlds) => {
