Capacity page: worked-out figures keep how their parts were found

A figure from others lost whether those were measured, predicted far beyond the largest size, or reasoned. The origin now carries them through every step.

--- a/lab/src/capacity/figure.rs
+++ b/lab/src/capacity/figure.rs
@@ -4,6 +4,7 @@
 use super::measurement::Series;
 use super::number;
 use minijinja::value::{Object, Value};
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Arc;
 
@@ -33,8 +34,13 @@
         /// What was varied.
         driver: String,
     },
-    /// Worked out from other figures; the text says how.
-    WorkedOut(String),
+    /// Worked out from other figures.
+    WorkedOut {
+        /// How.
+        how: String,
+        /// How those were found.
+        from: BTreeSet<String>,
+    },
     /// By reasoning, without a run; the text says how.
     Reasoned(String),
     /// Nothing does this today; the text says what is missing.
@@ -44,6 +50,18 @@
 }
 
 impl Origin {
+    /// The origin of what follows from figures; how those were found stays said, through every step.
+    pub fn worked_out<'a>(how: &str, from: impl Iterator<Item = &'a Origin>) -> Origin {
+        let mut found = BTreeSet::new();
+        for origin in from {
+            match origin {
+                Origin::WorkedOut { from, .. } => found.extend(from.iter().cloned()),
+                origin => drop(found.insert(origin.to_string())),
+            }
+        }
+        Origin::WorkedOut { how: how.into(), from: found }
+    }
+
     /// The origin of what a curve says at a size, with the range of the sizes that it was fitted to.
     pub fn fitted(curve: Curve, series: &Series, driver: &str, size: f64) -> Origin {
         let sizes = series.fitted.iter().map(|point| point.size);
@@ -70,7 +88,11 @@
                 }
                 Ok(())
             }
-            Origin::WorkedOut(how) => write!(out, "worked out: {how}"),
+            Origin::WorkedOut { how, from } if from.is_empty() => write!(out, "worked out: {how}"),
+            Origin::WorkedOut { how, from } => {
+                let from: Vec<&str> = from.iter().map(String::as_str).collect();
+                write!(out, "worked out: {how}; from what is {}", from.join(", and "))
+            }
             Origin::Reasoned(how) => write!(out, "by reasoning: {how}"),
             Origin::Absent(what) => write!(out, "not there: {what}"),
             Origin::NotMeasured(why) => write!(out, "not measured: {why}"),
--- a/lab/src/capacity/page/functions.rs
+++ b/lab/src/capacity/page/functions.rs
@@ -151,7 +151,7 @@
 fn install_plain(environment: &mut Environment<'_>) {
     environment.add_function("allowed", |value: f64, unit: &str| figure(value, unit, Origin::Target));
     environment.add_function("worked_out", |value: f64, unit: &str, how: &str| {
-        figure(value, unit, Origin::WorkedOut(said(how)?))
+        figure(value, unit, Origin::worked_out(&said(how)?, std::iter::empty()))
     });
     environment.add_function("reasoned", |value: f64, unit: &str, how: &str| {
         figure(value, unit, Origin::Reasoned(said(how)?))
@@ -203,15 +203,16 @@
 
 /// A figure worked out from others; the first of them that has no number takes its place.
 fn derived(from: &[Value], unit: &str, how: &str, value: impl Fn(&[f64]) -> f64) -> Result<Value, Error> {
-    let mut values = Vec::new();
+    let (mut values, mut origins) = (Vec::new(), Vec::new());
     for part in from {
         let part = figure_of(part, how)?;
         match part.value {
             Some(value) => values.push(value),
             None => return missing(part.origin),
         }
+        origins.push(part.origin);
     }
-    figure(value(&values), unit, Origin::WorkedOut(said(how)?))
+    figure(value(&values), unit, Origin::worked_out(&said(how)?, origins.iter()))
 }
 
 fn same_unit(figures: &[Value], unit: &str) -> Result<(), Error> {
--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -88,7 +88,9 @@
     let cpu = "at('idle', 'cpu', 1600)";
     assert_eq!(text(&format!("{{{{ scaled({cpu}, 9, 'ms/s', 'nine times') }}}}")), "55.8 ms/s");
     assert_eq!(text(&format!("{{{{ power({cpu}, 2, 'x', 'squared') }}}}")), "38.4 x");
-    assert_eq!(text(&format!("{{{{ total([{cpu}, {cpu}], 'ms/s', 'twice').how }}}}")), "worked out: twice");
+    let twice = format!("total([{cpu}, {cpu}], 'ms/s', 'twice')");
+    let how = text(&format!("{{{{ scaled({twice}, 2, 'ms/s', 'four times').how }}}}"));
+    assert_eq!(how, "worked out: four times; from what is measured at 1,600 servers known");
     let gap = format!("{{{{ total([{cpu}, not_measured('no run')], 'ms/s', 'both').how }}}}");
     assert_eq!(text(&gap), "not measured: no run");
     assert!(fault(&format!("{{{{ total([{cpu}], 's', 'x') }}}}")).contains("6.2 ms/s is not in s"));
