--- a/lab/src/capacity/provenance/tests.rs
+++ b/lab/src/capacity/provenance/tests.rs
@@ -13,3 +13,10 @@
     let parts: Vec<usize> = today.split('-').map(str::len).collect();
     assert_eq!(parts, [4, 2, 2], "{today}");
 }
+
+#[test]
+fn the_head_of_a_file_names_build_and_machine() {
+    let profile = if cfg!(debug_assertions) { "dev" } else { "release" };
+    assert!(build().ends_with(profile), "{}", build());
+    assert!(machine().contains("cores"), "{}", machine());
+}
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -5,7 +5,6 @@
 //! | --- | --- |
 //! | [`sweep`] | sizes and repeats of one driver, in an order that spreads the machine's drift over all of them |
 //! | [`process`] | what `/proc` says of a process |
-//! | [`machine`] | commit, profile, cores, memory and date, for the head of a file |
 //! | [`servers`] | stand-in servers that answer at once, and a discovery that lists them |
 //! | [`subject`] | the agent that is measured |
 //! | [`load`] | calls at a fixed rate, direct and through the agent, in turn |
@@ -16,7 +15,6 @@
 pub mod idle;
 pub mod lists;
 pub mod load;
-pub mod machine;
 pub mod process;
 pub mod restarts;
 pub mod servers;
@@ -24,6 +22,7 @@
 pub mod sweep;
 
 use crate::capacity::measurement::{Measurement, Series};
+use crate::capacity::provenance;
 use std::path::PathBuf;
 
 /// The measurements, by the names of their files.
@@ -107,9 +106,9 @@
         name: name.text(),
         about: findings.about,
         command,
-        build: machine::build(),
-        machine: machine::description(),
-        date: machine::today(),
+        build: provenance::build(),
+        machine: provenance::machine(),
+        date: provenance::today(),
         driver: findings.driver,
         series: findings.series,
         notes: findings.notes,
--- a/lab/src/publishing_command.rs
+++ b/lab/src/publishing_command.rs
@@ -3,10 +3,10 @@
 use crate::built;
 use clap::Args;
 use dilljunction_lab::capacity::measurement::Measurement;
+use dilljunction_lab::capacity::provenance;
 use dilljunction_lab::publishing::measure::{play, series, table, NEED_MS};
 use dilljunction_lab::publishing::rig::Setup;
-use dilljunction_lab::scale::provenance;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 #[derive(Args)]
 pub struct PublishingArguments {
@@ -85,7 +85,7 @@
             list(members),
             list(held_out)
         ),
-        build: provenance::build(&Path::new(env!("CARGO_MANIFEST_DIR")).join("..")),
+        build: provenance::build(),
         machine: provenance::machine(),
         date: provenance::today(),
         driver: "members".into(),
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -7,7 +7,6 @@
 pub mod measure;
 pub mod needs;
 pub mod protocol;
-pub mod provenance;
 pub mod record;
 pub mod rig;
 pub mod run;
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -8,8 +8,9 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// How long a fleet that has settled is left alone before it is measured: what it still says of its start is over then.
-const CALM: Duration = Duration::from_secs(3);
+/// How long a fleet that has settled is left alone before it is measured: what it still says of its start is over then. After
+/// 3 s the first window still held gossip of the start at 400 and 800 members.
+const CALM: Duration = Duration::from_secs(15);
 
 /// What a run has shown.
 #[derive(Debug, Clone, PartialEq, Serialize)]
--- a/lab/src/scale_command.rs
+++ b/lab/src/scale_command.rs
@@ -2,10 +2,10 @@
 
 use crate::{built, ScaleArguments};
 use dilljunction_lab::capacity::measurement::Measurement;
+use dilljunction_lab::capacity::provenance;
 use dilljunction_lab::fleet::checker::Rule;
 use dilljunction_lab::fleet::flaw::Flaw;
 use dilljunction_lab::scale::measure::{Used, Window};
-use dilljunction_lab::scale::provenance;
 use dilljunction_lab::scale::record::{self, Prediction};
 use dilljunction_lab::scale::rig::Setup;
 use dilljunction_lab::scale::run::{run as play, Outcome};
@@ -152,14 +152,20 @@
     Ok(missed.is_empty())
 }
 
+/// This command, to be typed again.
+fn command() -> String {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    format!("dilljunction-lab {}", arguments.join(" "))
+}
+
 /// Adds an outcome to the committed measurement; what stands there of another build or machine is thrown away.
 fn write(folder: &Path, arguments: &ScaleArguments, outcome: &Outcome, held_out: bool) -> Result<(), String> {
     let path = folder.join(format!("{}.json", record::NAME));
     let fresh = Measurement {
         name: record::NAME.into(),
         about: "An agent's idle cost by the size of its fleet: real agents among hollow ones, 7 regions, 16 zones".into(),
-        command: "dilljunction-lab scale --sizes 100,200,400,800 --held-out 1600 --out docs/capacity".into(),
-        build: provenance::build(&repository()),
+        command: command(),
+        build: provenance::build(),
         machine: provenance::machine(),
         date: provenance::today(),
         driver: "members".into(),
