--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -56,9 +56,9 @@
         #[arg(long)]
         json: bool,
     },
-    /// Publish a change of configuration; the agent must be the writer that [configuration] names
+    /// Publish a change of configuration; the agent must be the writer that the table configuration names
     Publish {
-        /// A TOML text with [limits], as in deploy/limits.toml; at most 4,096 bytes
+        /// A TOML text with the table limits, as in deploy/limits.toml; at most 4,096 bytes
         #[arg(value_name = "FILE")]
         file: PathBuf,
         /// The service whose agents put it in force
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -1,5 +1,5 @@
 //! Measuring commands for one real agent: each starts the release program on loopback, varies one driver of cost over
-//! several sizes, and writes one [`Measurement`](crate::capacity::measurement::Measurement).
+//! several sizes, and writes one [`Measurement`].
 //!
 //! | module | job |
 //! | --- | --- |
