Scale: the test of a rig in the way stalls in the middle of the window that is measured

Now the run says when a window begins, and the stall comes 2 s into it. Seen: the three tests of hollow/tests/scale.rs pass (122 s, debug build).

--- a/hollow/tests/scale.rs
+++ b/hollow/tests/scale.rs
@@ -91,16 +91,16 @@
                 tokio::spawn(async { std::thread::sleep(Duration::from_millis(1_500)) });
             }
         };
-        let measured = |word: &str| {
-            if word.starts_with("one view") {
-                // In the middle of what is measured after it.
+        let tell = |word: &str| {
+            if word.starts_with("measuring") {
+                // In the middle of the window.
                 tokio::spawn(async move {
-                    tokio::time::sleep(Duration::from_secs(5)).await;
+                    tokio::time::sleep(Duration::from_secs(2)).await;
                     stall();
                 });
             }
         };
-        run(setup("start", None), 1, Duration::from_secs(6), measured).await.unwrap()
+        run(setup("start", None), 1, Duration::from_secs(6), tell).await.unwrap()
     });
     let reason = outcome.bottleneck.clone().expect("a reason");
     assert!(!outcome.counts && !outcome.passed() && reason.contains("timer of the lab"), "{reason}");
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -69,8 +69,8 @@
         rig.rest(true).await;
         sleep(CALM).await;
         for number in 1..=windows {
+            tell(&format!("measuring {number} of {windows}"));
             measured.push(rig.measure(length).await?);
-            tell(&format!("measured {number} of {windows}"));
         }
         rig.rest(false).await;
     }
