Hollow agents take changes of configuration; what they take in a large fleet is measured

Need: changes of configuration were shown at 1,600 members in virtual time only. What the lab asks at the operators' address stands once, in publishing/operators.rs. The page shows a series that is fitted to nothing as measured.

--- a/agent/src/hollow.rs
+++ b/agent/src/hollow.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::configuration::NoDataPath;
 use crate::control::{Control, ControlConfig, Core};
+use crate::operators::configuration::InForce;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -64,6 +65,11 @@
         self.control.admin
     }
 
+    /// What is in force of the service that it follows, if `[configuration]` is on and a change has come.
+    pub fn in_force(&self) -> Option<InForce> {
+        self.control.peers.as_ref()?.followed_in_force()
+    }
+
     /// What its view comes to, if `[fleet]` is on.
     pub fn summary(&self) -> Option<FleetSummary> {
         self.control.peers.as_ref().map(|peers| peers.summary())
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -15,7 +15,7 @@
 use crate::driver::Driver;
 use crate::hollow::FleetSummary;
 use crate::log::log;
-use crate::operators::configuration::{PublishRequest, Published, Status};
+use crate::operators::configuration::{InForce, PublishRequest, Published, Status};
 use crate::switches::TrialTable;
 use crate::tally::Count;
 use dilljunction_cluster::envelope::{open, Room, DATAGRAM_MOST};
@@ -239,6 +239,11 @@
         Some(self.shell.borrow().as_ref()?.describe(self.clock.now()))
     }
 
+    /// What is in force of the service that this agent follows, if changes of configuration are on and one has come.
+    pub fn followed_in_force(&self) -> Option<InForce> {
+        self.shell.borrow().as_ref()?.followed_in_force(self.clock.now())
+    }
+
     /// Where other agents reach this one; nothing while another process of this agent holds the address.
     pub fn address(&self) -> Option<SocketAddr> {
         self.address.get()
--- a/agent/src/peers/configuration.rs
+++ b/agent/src/peers/configuration.rs
@@ -207,6 +207,13 @@
         Ok(Published { key: key.as_str().into(), version: version.into(), digest })
     }
 
+    /// What is in force of the service that this agent follows.
+    pub fn followed_in_force(&self, now: Duration) -> Option<InForce> {
+        let followed = self.config.service.as_ref()?;
+        let in_force = self.machine.entries().into_iter().find(|entry| &entry.key == followed)?.in_force?;
+        Some(shown_in_force(&in_force, now))
+    }
+
     /// What operators read.
     pub fn describe(&self, now: Duration) -> Status {
         let age = |since: Duration| now.saturating_sub(since).as_millis() as u64;
@@ -215,11 +222,7 @@
             version: entry.version.into(),
             digest: entry.digest.to_string(),
             followed: self.config.service.as_ref() == Some(&entry.key),
-            in_force: entry.in_force.map(|it| InForce {
-                version: it.version.into(),
-                digest: it.digest.to_string(),
-                since_ms: age(it.since),
-            }),
+            in_force: entry.in_force.map(|in_force| shown_in_force(&in_force, now)),
             rejected: entry.rejected.map(|it| Rejected { version: it.version.into(), reason: it.reason }),
         };
         let lagging = |it: cluster::Lagging| Lagging {
@@ -247,6 +250,15 @@
     }
 }
 
+/// A version in force, as operators read it.
+fn shown_in_force(in_force: &cluster::InForce, now: Duration) -> InForce {
+    InForce {
+        version: in_force.version.into(),
+        digest: in_force.digest.to_string(),
+        since_ms: now.saturating_sub(in_force.since).as_millis() as u64,
+    }
+}
+
 fn log_event(event: &Event) {
     match event {
         Event::Received { .. } => {}
--- a/hollow/src/host.rs
+++ b/hollow/src/host.rs
@@ -1,7 +1,8 @@
 //! The agents of one host, and how orders change them.
 
 use dilljunction_agent::{Config, HollowAgent, Switches};
-use dilljunction_lab::scale::protocol::{Answer, Order, Summary};
+use dilljunction_lab::publishing::judge::InForce;
+use dilljunction_lab::scale::protocol::{Answer, Configured, Order, Summary};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -13,8 +14,6 @@
 const AGENTS_MOST: usize = 1_000;
 /// How often it is looked whether timers come in time.
 const LATE_LOOK: Duration = Duration::from_millis(50);
-/// What each agent is switched on besides the platform's configuration.
-const SWITCHES: &str = "[fleet]\njson = true\n";
 
 /// Why a host ends.
 #[derive(Debug, thiserror::Error)]
@@ -55,24 +54,31 @@
             Err(e) => return Answer::Refused { reason: format!("not an order: {e}") },
         };
         match order {
-            Order::Start { number, config } => {
-                self.start(number, &config).await.unwrap_or_else(|reason| Answer::Refused { reason })
-            }
+            Order::Start { number, config, switches } => self
+                .start(number, &config, &switches)
+                .await
+                .unwrap_or_else(|reason| Answer::Refused { reason }),
             Order::Kill { number } => match self.agents.remove(&number) {
                 Some(_) => Answer::Killed { number },
                 None => Answer::Refused { reason: format!("agent {number} does not run here") },
             },
             Order::Report => self.report(),
+            Order::ReportConfigurations => self.report_configurations(),
         }
     }
 
-    async fn start(&mut self, number: usize, config: &serde_json::Value) -> Result<Answer, String> {
+    async fn start(
+        &mut self,
+        number: usize,
+        config: &serde_json::Value,
+        switches: &str,
+    ) -> Result<Answer, String> {
         let of = |reason: String| format!("agent {number}: {reason}");
         if self.agents.len() >= AGENTS_MOST {
             return Err(of(format!("this host has {AGENTS_MOST} agents, and no room for more")));
         }
         self.agents.remove(&number);
-        let switches = Switches::parse(SWITCHES).map_err(|fault| of(fault.to_string()))?;
+        let switches = Switches::parse(switches).map_err(|fault| of(fault.to_string()))?;
         let text = config.to_string();
         let config = Config::parse(text.as_bytes(), switches).map_err(|fault| of(fault.to_string()))?;
         let agent = HollowAgent::start(config).await.map_err(of)?;
@@ -92,6 +98,15 @@
         let agents = self.agents.iter().filter_map(summary).collect();
         Answer::Report { agents, late_ms: self.lateness.take().as_secs_f64() * 1e3 }
     }
+
+    fn report_configurations(&self) -> Answer {
+        let configured = |(number, agent): (&usize, &HollowAgent)| {
+            let seen = agent.in_force()?;
+            let in_force = InForce { version: seen.version, digest: seen.digest, since_ms: seen.since_ms };
+            Some(Configured { number: *number, in_force })
+        };
+        Answer::Configurations { agents: self.agents.iter().filter_map(configured).collect() }
+    }
 }
 
 /// Watches how late the timers of this thread are.
--- a/hollow/tests/scale.rs
+++ b/hollow/tests/scale.rs
@@ -2,7 +2,9 @@
 
 use dilljunction_lab::fleet::checker::Rule;
 use dilljunction_lab::fleet::flaw::Flaw;
-use dilljunction_lab::scale::rig::Setup;
+use dilljunction_lab::publishing::operators::{fleet_file, Refusal};
+use dilljunction_lab::scale::publishing::{Publishing, PublishingFault};
+use dilljunction_lab::scale::rig::{Setup, VIEW_ONLY};
 use dilljunction_lab::scale::run::{run, Outcome};
 use dilljunction_lab::scale::schedule::schedule;
 use dilljunction_lab::scale::share::Bounds;
@@ -35,6 +37,7 @@
         folder,
         flaw,
         bounds: patient(),
+        fleet_file: VIEW_ONLY.into(),
     }
 }
 
@@ -82,6 +85,28 @@
     assert!(!outcome.passed() && outcome.verdict.count(Rule::Settles) > 0, "{:#?}", outcome.verdict);
 }
 
+#[test]
+fn a_change_is_in_force_at_real_and_hollow_agents_and_at_those_that_restart_meanwhile() {
+    let setup = Setup { fleet_file: fleet_file(), ..setup("start", None) };
+    block_on(async {
+        let mut fleet = Publishing::start(setup, 0.01).await.unwrap();
+        let times = fleet.changes(2).await.unwrap();
+        assert_eq!((times.agents, times.all.len(), times.last.len()), (MEMBERS, 2 * MEMBERS, 2));
+        let times = fleet.change_while_agents_restart().await.unwrap();
+        assert_eq!(times.all.len(), MEMBERS);
+        let rush = fleet.rush(4.0, Duration::from_secs(3), 5).await.unwrap();
+        assert_eq!((rush.published, rush.times.last.len(), rush.times.all.len()), (12, 5, 5 * MEMBERS));
+        assert!(rush.writer_bytes_out > 0.0);
+    });
+}
+
+#[test]
+fn a_fleet_without_changes_of_configuration_publishes_none() {
+    let fault =
+        block_on(Publishing::start(setup("start", None), 0.0)).err().expect("nothing to publish with");
+    assert!(matches!(fault, PublishingFault::Refused(Refusal { status: 404, .. })), "{fault}");
+}
+
 /// The lab's threads are kept from their work for longer than any bound: what was measured is no figure of the agents.
 #[test]
 fn a_run_in_which_the_rig_was_the_bottleneck_does_not_count() {
--- a/lab/src/capacity/page/tables.rs
+++ b/lab/src/capacity/page/tables.rs
@@ -19,7 +19,11 @@
     let measurement = measurements.get(name)?;
     let mut lines = Vec::new();
     for series in &measurement.series {
-        lines.push(fit_line(series, &measurements.curve(name, &series.key)?));
+        lines.push(if series.fitted.is_empty() {
+            measured_line(series)
+        } else {
+            fit_line(series, &measurements.curve(name, &series.key)?)
+        });
     }
     let heads = [
         "series",
@@ -56,6 +60,29 @@
     ]
 }
 
+/// A series that was measured at the size that counts, and is fitted to none.
+fn measured_line(series: &Series) -> [String; 8] {
+    let measured = |point: &Point| {
+        let least = point.values.iter().copied().fold(f64::INFINITY, f64::min);
+        let most = point.values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let middle = figure(median(&point.values));
+        format!("at {}: measured {middle} ({} to {})", count(point.size), figure(least), figure(most))
+    };
+    let points: Vec<String> = series.held_out.iter().map(measured).collect();
+    let none = String::from("-");
+    let name = format!("`{}`, {}", series.key, series.unit);
+    [
+        name,
+        "none".into(),
+        "not fitted".into(),
+        none.clone(),
+        none.clone(),
+        none.clone(),
+        none,
+        points.join("; "),
+    ]
+}
+
 fn held_out(curve: &Curve, point: &Point) -> String {
     let (predicted, measured) = (curve.at(point.size), median(&point.values));
     let size = count(point.size);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod capacity_command;
 mod configuration_command;
+mod configuration_scale_command;
 mod fleet_command;
 mod measure_command;
 mod publishing_command;
@@ -102,6 +103,8 @@
     Scale(ScaleArguments),
     /// How long a change of configuration takes among real agents, from the request to publish until it is in force
     ConfigurationReal(publishing_command::PublishingArguments),
+    /// The same in a large fleet of a few real agents and many hollow ones
+    ConfigurationScale(configuration_scale_command::ConfigurationScaleArguments),
     /// What changes of configuration take and cost in a fleet, in virtual time
     Configuration(configuration_command::ConfigurationArguments),
     /// List the worlds that come with the lab
@@ -249,10 +252,13 @@
     with: Vec<PathBuf>,
 }
 
+/// Threads of the switch of a large fleet, which carries what hundreds of processes send.
+const SWITCH_THREADS: usize = 4;
+
 fn main() -> ExitCode {
     let task = Arguments::parse().command;
-    // The switch of a large fleet carries what hundreds of processes send.
-    let threads = if matches!(task, Some(Task::Scale(_))) { 4 } else { 2 };
+    let is_large = matches!(task, Some(Task::Scale(_) | Task::ConfigurationScale(_)));
+    let threads = if is_large { SWITCH_THREADS } else { 2 };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build();
     let end = match runtime {
         Ok(runtime) => runtime.block_on(async {
@@ -310,6 +316,7 @@
         Some(Task::Measure(arguments)) => measure_command::run(arguments).await,
         Some(Task::ConfigurationReal(arguments)) => publishing_command::run(arguments).await,
         Some(Task::Scale(arguments)) => scale_command::run(arguments).await,
+        Some(Task::ConfigurationScale(arguments)) => configuration_scale_command::run(arguments).await,
         Some(Task::Configuration(arguments)) => configuration_command::run(&arguments),
         Some(Task::Worlds) => {
             for (name, _) in SHIPPED {
--- a/lab/src/publishing/judge.rs
+++ b/lab/src/publishing/judge.rs
@@ -1,6 +1,6 @@
 //! What agents say of a published configuration, held against what was published. Without I/O.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// What an agent says at its operators' address.
@@ -28,7 +28,7 @@
 }
 
 /// A version in force.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
     /// Which.
     pub version: u64,
--- a/lab/src/publishing/measure.rs
+++ b/lab/src/publishing/measure.rs
@@ -74,7 +74,7 @@
 }
 
 /// A value that is no other's.
-fn value(random: &mut fastrand::Rng) -> String {
+pub(crate) fn value(random: &mut fastrand::Rng) -> String {
     let mut text = format!("[limits]\nclient_connections = {}\n#", random.usize(100..400));
     text.extend(std::iter::repeat_with(|| random.alphanumeric()).take(VALUE_BYTES - text.len()));
     text
--- a/lab/src/publishing/rig.rs
+++ b/lab/src/publishing/rig.rs
@@ -2,23 +2,19 @@
 
 use crate::fleet::net::Net;
 use crate::fleet::plan::{Clocks, Fault, Kind, Knows};
-use crate::fleet::process::{answer, view, Ground, Process};
+use crate::fleet::process::{view, Ground, Process};
 use crate::fleet::switch::Switch;
-use crate::publishing::judge::{InForce, Judge, Published, Status};
+use crate::publishing::judge::{Judge, Published, Status};
+use crate::publishing::operators;
+pub use crate::publishing::operators::{in_force, Refusal, KEY, WRITER};
 use crate::publishing::tamper::Tampering;
-use serde_json::json;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// The agent that publishes.
-pub const WRITER: usize = 0;
-/// The service that all agents follow.
-pub const KEY: &str = "booking";
 /// The agent whose clients' socket the lab holds, as the platform does, and so knows.
 pub const HELD: usize = 1;
-const PATH: &str = "/fleet/configuration";
 /// How often agents are asked while something is waited for.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -53,24 +49,14 @@
     judge: Judge,
 }
 
-/// Why a request to publish was refused.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Refusal {
-    /// The status of the answer.
-    pub status: u16,
-    /// Its words.
-    pub reason: String,
-}
-
 impl Rig {
     /// Starts all agents.
     pub async fn start(setup: Setup) -> Result<Rig, String> {
         let Setup { program, folder, agents, seed, loss, tampering } = setup;
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let fleet_file = folder.join("fleet.toml");
-        let table =
-            format!("[fleet]\njson = true\n[configuration]\nwriter = {WRITER}\nservice = \"{KEY}\"\n");
-        std::fs::write(&fleet_file, table).map_err(|e| format!("{}: {e}", fleet_file.display()))?;
+        std::fs::write(&fleet_file, operators::fleet_file())
+            .map_err(|e| format!("{}: {e}", fleet_file.display()))?;
         let switch = Switch::start(agents, seed, None).await?;
         if let Some((member, tampering)) = tampering {
             switch.change_packets(member, move |packet| tampering.change(packet));
@@ -153,8 +139,7 @@
 
     /// What an agent says of its configuration, if it answers.
     pub async fn status(&mut self, agent: usize) -> Option<Status> {
-        let (code, body) = answer(self.admin(agent)?, "GET", PATH, "").await?;
-        let status: Status = serde_json::from_slice(&body).ok().filter(|_| code == 200)?;
+        let status = operators::status(self.admin(agent)?).await?;
         if let Some(in_force) = in_force(&status) {
             self.judge.says(agent, in_force);
         }
@@ -163,15 +148,7 @@
 
     /// Asks an agent to publish.
     pub async fn publish(&mut self, agent: usize, value: &str) -> Result<Published, Refusal> {
-        let silent = || Refusal { status: 0, reason: format!("agent {agent} does not answer") };
-        let admin = self.admin(agent).ok_or_else(silent)?;
-        let body = json!({"key": KEY, "why": "the lab", "value": value}).to_string();
-        let (status, body) = answer(admin, "POST", PATH, &body).await.ok_or_else(silent)?;
-        let reason = String::from_utf8_lossy(&body).into_owned();
-        if status != 200 {
-            return Err(Refusal { status, reason });
-        }
-        let published: Published = serde_json::from_slice(&body).map_err(|_| Refusal { status, reason })?;
+        let published = operators::publish(self.admin(agent), KEY, value).await?;
         self.judge.published(&published);
         Ok(published)
     }
@@ -182,11 +159,9 @@
         loop {
             match self.publish(WRITER, value).await {
                 Ok(published) => return Ok(published),
-                Err(refusal) if begin.elapsed() > within => {
-                    return Err(format!("{}: {}", refusal.status, refusal.reason))
-                }
+                Err(refusal) if begin.elapsed() > within => return Err(refusal.to_string()),
                 Err(Refusal { status: 0 | 503, .. }) => sleep(LOOK_EVERY).await,
-                Err(refusal) => return Err(format!("{}: {}", refusal.status, refusal.reason)),
+                Err(refusal) => return Err(refusal.to_string()),
             }
         }
     }
@@ -246,8 +221,3 @@
         &self.judge
     }
 }
-
-/// What a status has in force of the one key.
-pub fn in_force(status: &Status) -> Option<&InForce> {
-    status.entries.iter().find(|entry| entry.key == KEY)?.in_force.as_ref()
-}
--- a/lab/src/scale/host.rs
+++ b/lab/src/scale/host.rs
@@ -1,6 +1,6 @@
 //! A process that hosts hollow agents, as the lab starts it and speaks to it.
 
-use crate::scale::protocol::{Answer, Order, Summary, LINE_MOST};
+use crate::scale::protocol::{Answer, Configured, Order, Summary, LINE_MOST};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
@@ -72,13 +72,14 @@
         self.child.id()
     }
 
-    /// Starts an agent; where other agents reach it, and where operators call.
+    /// Starts an agent with the text of a file of switches; where other agents reach it, and where operators call.
     pub async fn start_agent(
         &self,
         number: usize,
         config: serde_json::Value,
+        switches: &str,
     ) -> Result<(SocketAddr, SocketAddr), HostFault> {
-        match self.ask(&Order::Start { number, config }).await? {
+        match self.ask(&Order::Start { number, config, switches: switches.to_string() }).await? {
             Answer::Started { number: started, peers_at, admin } if started == number => {
                 Ok((peers_at, admin))
             }
@@ -102,6 +103,14 @@
         }
     }
 
+    /// Which configuration the agents have in force that have any.
+    pub async fn configurations(&self) -> Result<Vec<Configured>, HostFault> {
+        match self.ask(&Order::ReportConfigurations).await? {
+            Answer::Configurations { agents } => Ok(agents),
+            other => Err(odd(other)),
+        }
+    }
+
     async fn ask(&self, order: &Order) -> Result<Answer, HostFault> {
         let mut streams = self.streams.lock().await;
         timeout(ANSWER_WAIT, streams.ask(order)).await.map_err(|_| HostFault::Silent)?
--- a/lab/src/scale/protocol.rs
+++ b/lab/src/scale/protocol.rs
@@ -1,6 +1,7 @@
 //! What the lab and a host of hollow agents (`dilljunction-hollow`) say to each other: one line of JSON each, orders on the
 //! host's standard input, and one answer to each of them on its standard output, in their order.
 
+use crate::publishing::judge::InForce;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -17,6 +18,8 @@
         number: usize,
         /// Its configuration, as the platform words it.
         config: serde_json::Value,
+        /// What is switched on besides: the text of a file under `deploy/`.
+        switches: String,
     },
     /// An agent ends at once, and says so to nobody.
     Kill {
@@ -25,6 +28,8 @@
     },
     /// The host says what each of its agents knows, in short.
     Report,
+    /// The host says which configuration each of its agents has in force.
+    ReportConfigurations,
 }
 
 /// What a host answers.
@@ -52,6 +57,11 @@
         /// How late a timer of the host was at worst since the last report, in milliseconds.
         late_ms: f64,
     },
+    /// Which configuration the agents have in force.
+    Configurations {
+        /// One for each agent that has any, in the order of their numbers.
+        agents: Vec<Configured>,
+    },
     /// The order could not be carried out.
     Refused {
         /// Why.
@@ -73,3 +83,12 @@
     /// Members that are there, by that view.
     pub present: usize,
 }
+
+/// What a hollow agent has in force of the service that it follows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Configured {
+    /// The agent's number in the fleet.
+    pub number: usize,
+    /// The version, its digest and its age.
+    pub in_force: InForce,
+}
--- a/lab/src/scale/rig.rs
+++ b/lab/src/scale/rig.rs
@@ -26,6 +26,8 @@
 
 /// Servers on the list that every agent watches; nobody calls them.
 pub const SERVERS: usize = 100;
+/// A fleet file that switches the view on and nothing else.
+pub const VIEW_ONLY: &str = "[fleet]\njson = true\n";
 /// How often it is looked whether the fleet has settled.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// How long all must be one and true before a schedule ends early.
@@ -51,6 +53,8 @@
     pub flaw: Option<Flaw>,
     /// How far the rig may go.
     pub bounds: Bounds,
+    /// What the agents are switched on: the text of their fleet file.
+    pub fleet_file: String,
 }
 
 /// Why there is no run.
@@ -124,7 +128,7 @@
         Needs::of(members, setup.real)?.check(Room::of_this_machine())?;
         std::fs::create_dir_all(&setup.folder).map_err(|e| format!("{}: {e}", setup.folder.display()))?;
         let fleet_file = setup.folder.join("fleet.toml");
-        std::fs::write(&fleet_file, "[fleet]\njson = true\n")
+        std::fs::write(&fleet_file, &setup.fleet_file)
             .map_err(|e| format!("{}: {e}", fleet_file.display()))?;
         let switch = Arc::new(Switch::start(members, seed, setup.flaw).await?);
         switch.net().topology = Some(Topology::new(members));
@@ -186,11 +190,10 @@
         for (place, host) in self.hosts.iter().enumerate() {
             let in_host = |seat: &Seat| matches!(seat, Seat::Hollow { host, .. } if *host == place);
             let members: Vec<usize> = (0..self.seats.len()).filter(|m| in_host(&self.seats[*m])).collect();
-            let (host, ground) = (Arc::clone(host), self.ground.clone());
-            let (switch, eyes) = (Arc::clone(&self.switch), Arc::clone(&self.eyes));
+            let (host, fleet) = (Arc::clone(host), self.fleet());
             starting.spawn(async move {
                 for member in members {
-                    start_hollow(&host, &ground, &switch, &eyes, member, 0).await?;
+                    fleet.start_hollow(&host, member, 0).await?;
                 }
                 Ok::<_, HostFault>(())
             });
@@ -207,15 +210,24 @@
         Ok(())
     }
 
+    /// What it takes to start a hollow agent.
+    fn fleet(&self) -> Fleet {
+        Fleet {
+            ground: self.ground.clone(),
+            switches: self.setup.fleet_file.clone(),
+            switch: Arc::clone(&self.switch),
+            eyes: Arc::clone(&self.eyes),
+        }
+    }
+
     /// Starts an agent that does not run.
-    async fn start(&mut self, member: usize) -> Result<(), RigFault> {
-        let starts = self.starts[member];
+    pub(crate) async fn start(&mut self, member: usize) -> Result<(), RigFault> {
+        let (starts, fleet) = (self.starts[member], self.fleet());
         self.starts[member] += 1;
         match &mut self.seats[member] {
             Seat::Hollow { runs: true, .. } | Seat::Real(Some(_)) => {}
             Seat::Hollow { host, runs } => {
-                start_hollow(&self.hosts[*host], &self.ground, &self.switch, &self.eyes, member, starts)
-                    .await?;
+                fleet.start_hollow(&self.hosts[*host], member, starts).await?;
                 *runs = true;
             }
             Seat::Real(process) => {
@@ -232,7 +244,7 @@
         Ok(())
     }
 
-    async fn kill(&mut self, member: usize) -> Result<(), RigFault> {
+    pub(crate) async fn kill(&mut self, member: usize) -> Result<(), RigFault> {
         match &mut self.seats[member] {
             Seat::Hollow { runs: false, .. } | Seat::Real(None) => return Ok(()),
             Seat::Hollow { host, runs } => {
@@ -348,19 +360,22 @@
     }
 }
 
-async fn start_hollow(
-    host: &Host,
-    ground: &Ground,
-    switch: &Switch,
-    eyes: &Eyes,
-    member: usize,
-    starts: usize,
-) -> Result<(), HostFault> {
-    let config = ground.configuration(member, starts, ANY, ANY);
-    let (peers_at, admin) = host.start_agent(member, config).await?;
-    switch.place(member, peers_at);
-    eyes.book().started(member, admin);
-    Ok(())
+/// What hollow agents are started with, whichever host they run in.
+struct Fleet {
+    ground: Ground,
+    switches: String,
+    switch: Arc<Switch>,
+    eyes: Arc<Eyes>,
+}
+
+impl Fleet {
+    async fn start_hollow(&self, host: &Host, member: usize, starts: usize) -> Result<(), HostFault> {
+        let config = self.ground.configuration(member, starts, ANY, ANY);
+        let (peers_at, admin) = host.start_agent(member, config, &self.switches).await?;
+        self.switch.place(member, peers_at);
+        self.eyes.book().started(member, admin);
+        Ok(())
+    }
 }
 
 /// The list that every agent watches.
--- a/lab/src/scale/schedule.rs
+++ b/lab/src/scale/schedule.rs
@@ -57,7 +57,7 @@
 }
 
 /// So many of them at most, evenly.
-fn spread(members: Vec<usize>, most: usize) -> Vec<usize> {
+pub(super) fn spread(members: Vec<usize>, most: usize) -> Vec<usize> {
     let step = members.len().div_ceil(most).max(1);
     members.into_iter().step_by(step).collect()
 }
--- a/lab/src/scale_command.rs
+++ b/lab/src/scale_command.rs
@@ -7,7 +7,7 @@
 use dilljunction_lab::fleet::flaw::Flaw;
 use dilljunction_lab::scale::measure::{Used, Window};
 use dilljunction_lab::scale::record::{self, Prediction};
-use dilljunction_lab::scale::rig::Setup;
+use dilljunction_lab::scale::rig::{Setup, VIEW_ONLY};
 use dilljunction_lab::scale::run::{run as play, Outcome};
 use dilljunction_lab::scale::schedule::schedule;
 use dilljunction_lab::scale::share::Bounds;
@@ -84,6 +84,7 @@
         folder: arguments.logs.clone().unwrap_or(logs),
         flaw,
         bounds: Bounds::default(),
+        fleet_file: VIEW_ONLY.into(),
     };
     let length = Duration::from_secs_f64(arguments.seconds);
     play(setup, size.windows, length, |word| eprintln!("{} members: {word}", size.members))
