Fleet view: joins beyond 128 waiting updates are taken in without gossip; scale tests wait less

Beyond 128 waiting updates a join (alive, refutes nothing) is taken in and not passed on; comparisons carry it. Deaths, suspicions and refutations are passed on always. Fleets below 128 are as before. The windows of a scale run name their calm; tests wait 1 s, not 15.

--- a/cluster/src/view/mod.rs
+++ b/cluster/src/view/mod.rs
@@ -15,6 +15,7 @@
 mod timeouts;
 
 pub use event::{Change, Counts, Dropped, Event, MemberStatus};
+pub use receive::GOSSIP_BACKLOG_MOST;
 pub use setup::{BadSetup, Setup};
 
 use crate::envelope::{Room, seal};
--- a/cluster/src/view/receive.rs
+++ b/cluster/src/view/receive.rs
@@ -12,6 +12,26 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Updates that wait to be passed on by gossip, beyond which a member that others report alive is taken in and not passed on. When
+/// hundreds start at once the comparison of views tells everybody of them sooner; gossip would tell each of each ten times, for
+/// minutes, and the membership protocol goes through all that waits for each packet that it sends. Deaths, suspicions and
+/// refutations are always passed on: a comparison leaves suspicions out.
+pub const GOSSIP_BACKLOG_MOST: usize = 128;
+
+/// A packet of the membership protocol after what it need not see was taken out.
+#[derive(Default)]
+pub(super) struct Pruned {
+    /// Its body, if that has changed.
+    body: Option<Vec<u8>>,
+    /// Updates to be taken in without passing them on.
+    not_to_spread: Vec<Member<Identity>>,
+}
+
+/// Whether an update says no more than that a member is there: it refutes nothing.
+fn is_join(update: &Member<Identity>) -> bool {
+    update.state() == foca::State::Alive && update.incarnation() == 0
+}
+
 impl View {
     pub(super) fn receive(&mut self, now: Duration, from: SocketAddr, packet: &[u8]) -> Result<(), Dropped> {
         let (room, body) = open(packet)?;
@@ -66,13 +86,14 @@
         let pruned = self.without_known_updates(&header, body, updates);
         let mut read = true;
         self.swim(now, |swim, requests| {
-            let handled = swim.handle_data(pruned.as_deref().unwrap_or(body), requests);
+            let handled = swim.handle_data(pruned.body.as_deref().unwrap_or(body), requests);
             read = !matches!(handled, Err(foca::Error::Decode(_) | foca::Error::MalformedPacket));
             handled
         });
         if !read {
             return Err(Unreadable::UnknownWords.into());
         }
+        self.swim(now, |swim, requests| swim.apply_many(pruned.not_to_spread.into_iter(), false, requests));
         let me = self.me().clone();
         if meant.number == me.number && *meant != me {
             // The membership protocol reads nothing that was meant for an earlier identity. Whoever has not heard of the present
@@ -102,34 +123,46 @@
         could
     }
 
-    /// A packet's body without the updates that can't change anything, if there are any such. `updates` is what follows the
-    /// header. The membership protocol would search all its members for each of them, and do nothing.
+    /// Takes the updates out of a packet's body that can't change anything, and those that are not to be spread by gossip.
+    /// `updates` is what follows the header. The membership protocol would search all its members for each of the former, and
+    /// do nothing.
     pub(super) fn without_known_updates(
         &mut self,
         header: &foca::Header<Identity>,
         body: &[u8],
-        mut updates: &[u8],
-    ) -> Option<Vec<u8>> {
+        updates: &[u8],
+    ) -> Pruned {
         let reads_updates = !matches!(header.message, foca::Message::Announce | foca::Message::Broadcast);
         if updates.len() < UPDATE_COUNT_BYTES || !reads_updates || header.dst != *self.me() {
-            return None;
+            return Pruned::default();
         }
+        self.prune(body, updates).unwrap_or_default()
+    }
+
+    /// Nothing if an update can't be read: that is for the membership protocol to refuse.
+    fn prune(&mut self, body: &[u8], mut updates: &[u8]) -> Option<Pruned> {
+        let is_crowded = self.gossip_backlog() >= GOSSIP_BACKLOG_MOST;
+        let mut not_to_spread = Vec::new();
         let mut pruned = body[..body.len() - updates.len()].to_vec();
         let count_at = pruned.len();
         let count = updates.get_u16();
         pruned.put_u16(0);
         let mut kept: u16 = 0;
         for _ in 0..count {
-            // What can't be read is for the membership protocol to refuse.
             let update = self.codec.decode_member(&mut updates).ok()?;
-            if self.note(&update) {
+            if !self.note(&update) {
+                continue;
+            }
+            if is_crowded && is_join(&update) && update.id().number != self.me().number {
+                not_to_spread.push(update);
+            } else {
                 self.codec.encode_member(&update, &mut pruned).ok()?;
                 kept += 1;
             }
         }
         pruned.extend_from_slice(updates);
         pruned[count_at..count_at + UPDATE_COUNT_BYTES].copy_from_slice(&kept.to_be_bytes());
-        (kept < count).then_some(pruned)
+        Some(Pruned { body: (kept < count).then_some(pruned), not_to_spread })
     }
 
     pub(super) fn receive_talk(&mut self, now: Duration, from: SocketAddr, talk: Talk) {
--- a/cluster/tests/lives.rs
+++ b/cluster/tests/lives.rs
@@ -4,13 +4,13 @@
 use dilljunction_cluster::member::{Life, Name, Number, State};
 use dilljunction_cluster::pace;
 use dilljunction_cluster::sync::Talk;
-use dilljunction_cluster::view::{BadSetup, Change, Dropped, Event, Setup, View};
+use dilljunction_cluster::view::{BadSetup, Change, Dropped, Event, GOSSIP_BACKLOG_MOST, Setup, View};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([10, 3, 0, 1 + number as u8], 7946))
+    SocketAddr::from(([10, 3, (number / 250) as u8, 1 + (number % 250) as u8], 7946))
 }
 
 fn setup(number: usize, members: usize, unix_ms: u64) -> Setup {
@@ -305,6 +305,32 @@
     assert!(counts.iter().all(|n| *n > 2), "{counts:?}");
 }
 
+/// Without the bound some 300 updates wait at one of 700 members at once, and gossip goes on long after all are known to all.
+#[test]
+fn gossip_of_a_start_is_bounded_and_the_fleet_is_one_all_the_same() {
+    const MEMBERS: usize = 700;
+    // Whoever speaks to a member itself is always passed on.
+    const HEARD_DIRECTLY: usize = 60;
+    let mut fleet = Fleet::new(MEMBERS);
+    let (mut most, mut is_one) = (0, false);
+    let end = pace::join_known(MEMBERS, 0);
+    while fleet.now < end {
+        fleet.run(Duration::from_millis(100));
+        let backlogs = fleet.members.iter().flatten().map(View::gossip_backlog);
+        most = most.max(backlogs.max().unwrap_or(0));
+        is_one |= fleet.is_one();
+    }
+    assert!(is_one && fleet.is_one());
+    assert!(
+        (GOSSIP_BACKLOG_MOST..GOSSIP_BACKLOG_MOST + HEARD_DIRECTLY).contains(&most),
+        "{most} waited at most"
+    );
+    // A death is passed on whatever waits.
+    fleet.members[7] = None;
+    fleet.run(pace::crash_known(MEMBERS, 1));
+    assert!(fleet.is_one());
+}
+
 #[test]
 fn a_setup_that_makes_no_sense_is_refused() {
     let refused = |setup: Setup| View::new(setup, Duration::ZERO).err();
--- a/hollow/tests/scale.rs
+++ b/hollow/tests/scale.rs
@@ -5,7 +5,7 @@
 use dilljunction_lab::publishing::operators::{fleet_file, Refusal};
 use dilljunction_lab::scale::publishing::{Publishing, PublishingFault};
 use dilljunction_lab::scale::rig::{Setup, VIEW_ONLY};
-use dilljunction_lab::scale::run::{run, Outcome};
+use dilljunction_lab::scale::run::{run, Outcome, Windows};
 use dilljunction_lab::scale::schedule::schedule;
 use dilljunction_lab::scale::share::Bounds;
 use dilljunction_lab::standins::hand::program;
@@ -41,6 +41,11 @@
     }
 }
 
+/// Of so many seconds. No figure of it is looked at but that it is there, so that nobody waits for the start's gossip to end.
+fn one_window(seconds: u64) -> Windows {
+    Windows { count: 1, length: Duration::from_secs(seconds), calm: Duration::from_secs(1) }
+}
+
 fn block_on<T>(work: impl std::future::Future<Output = T>) -> T {
     let _one = PLAYING.lock().unwrap_or_else(|e| e.into_inner());
     let mut builder = tokio::runtime::Builder::new_multi_thread();
@@ -50,7 +55,7 @@
 fn play(setup: Setup) -> Outcome {
     block_on(async {
         let name = &setup.plan.name;
-        let once = || run(setup.clone(), 1, Duration::from_secs(2), |_| ());
+        let once = || run(setup.clone(), one_window(2), |_| ());
         let mut outcome = once().await.unwrap();
         for _ in 1..RUNS_MOST {
             let Some(reason) = &outcome.bottleneck else { break };
@@ -125,7 +130,7 @@
                 });
             }
         };
-        run(setup("start", None), 1, Duration::from_secs(6), tell).await.unwrap()
+        run(setup("start", None), one_window(6), tell).await.unwrap()
     });
     let reason = outcome.bottleneck.clone().expect("a reason");
     assert!(!outcome.counts && !outcome.passed() && reason.contains("timer of the lab"), "{reason}");
--- a/lab/src/scale/run.rs
+++ b/lab/src/scale/run.rs
@@ -10,7 +10,18 @@
 
 /// How long a fleet that has settled is left alone before it is measured: what it still says of its start is over then. After
 /// 3 s the first window still held gossip of the start at 400 and 800 members.
-const CALM: Duration = Duration::from_secs(15);
+pub const CALM: Duration = Duration::from_secs(15);
+
+/// What is measured of a fleet that has settled, before the schedule is played.
+#[derive(Debug, Clone, Copy)]
+pub struct Windows {
+    /// How many windows.
+    pub count: usize,
+    /// How long each of them is.
+    pub length: Duration,
+    /// How long the fleet is left alone before the first; [`CALM`] where the figures count.
+    pub calm: Duration,
+}
 
 /// What a run has shown.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -46,13 +57,8 @@
     }
 }
 
-/// Makes a run with so many measurements of such a length; `tell` hears how far it is.
-pub async fn run(
-    setup: Setup,
-    windows: usize,
-    length: Duration,
-    mut tell: impl FnMut(&str),
-) -> Result<Outcome, RigFault> {
+/// Makes a run with these measurements; `tell` hears how far it is.
+pub async fn run(setup: Setup, windows: Windows, mut tell: impl FnMut(&str)) -> Result<Outcome, RigFault> {
     let (plan, real, bounds) = (setup.plan.clone(), setup.real, setup.bounds);
     let mut rig = Rig::new(setup).await?;
     let (begin, meter) = (Instant::now(), Meter::start(&rig).await?);
@@ -65,12 +71,12 @@
     let settled = settled?.as_secs_f64();
     tell(&format!("one view after {settled:.1} s more"));
     let mut measured = Vec::new();
-    if windows > 0 {
+    if windows.count > 0 {
         rig.rest(true).await;
-        sleep(CALM).await;
-        for number in 1..=windows {
-            tell(&format!("measuring {number} of {windows}"));
-            measured.push(rig.measure(length).await?);
+        sleep(windows.calm).await;
+        for number in 1..=windows.count {
+            tell(&format!("measuring {number} of {}", windows.count));
+            measured.push(rig.measure(windows.length).await?);
         }
         rig.rest(false).await;
     }
--- a/lab/src/scale_command.rs
+++ b/lab/src/scale_command.rs
@@ -8,7 +8,7 @@
 use dilljunction_lab::scale::measure::{Used, Window};
 use dilljunction_lab::scale::record::{self, Prediction};
 use dilljunction_lab::scale::rig::{Setup, VIEW_ONLY};
-use dilljunction_lab::scale::run::{run as play, Outcome};
+use dilljunction_lab::scale::run::{run as play, Outcome, Windows, CALM};
 use dilljunction_lab::scale::schedule::schedule;
 use dilljunction_lab::scale::share::Bounds;
 use std::path::{Path, PathBuf};
@@ -87,7 +87,8 @@
         fleet_file: VIEW_ONLY.into(),
     };
     let length = Duration::from_secs_f64(arguments.seconds);
-    play(setup, size.windows, length, |word| eprintln!("{} members: {word}", size.members))
+    let windows = Windows { count: size.windows, length, calm: CALM };
+    play(setup, windows, |word| eprintln!("{} members: {word}", size.members))
         .await
         .map_err(|fault| format!("{} members: {fault}", size.members))
 }
