--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -124,6 +124,17 @@
     assert!(wrong.render().expect("a page").text.contains("**off by more than a quarter**"));
 }
 
+#[test]
+fn a_series_that_is_fitted_to_nothing_is_shown_as_measured() {
+    let mut only_measured = sources("{{ fit_table('large') }}");
+    let mut large = measurement("large");
+    large.series.iter_mut().for_each(|series| series.fitted.clear());
+    only_measured.measurements.add(large).expect("usable");
+    let table = only_measured.render().expect("a page").text;
+    let line = "| `cpu`, ms/s | none | not fitted | - | - | - | - | at 1,600: measured 6.2 (6.19 to 6.21) |";
+    assert!(table.lines().any(|found| found == line), "{table}");
+}
+
 #[test]
 fn measurements_that_nothing_reads_are_told_on_the_page_and_beside_it() {
     let mut sources = sources(
