--- a/lab/src/measure/lists.rs
+++ b/lab/src/measure/lists.rs
@@ -152,7 +152,7 @@
     })
 }
 
-/// Changes the list so many times a second until dropped; see [`changes`].
+/// Changes the list so many times a second until dropped: a release, in which each server in turn drains and serves again.
 pub async fn change(registry: &Registry, per_second: f64, servers: usize) {
     let mut ticks = interval(Duration::from_secs_f64(1.0 / per_second.max(0.01)));
     // An interval of tokio would catch up in a burst after a delay.
