A shutdown ends before the platform's kill, whatever deadlines the classes have

Ruled out: stalls, closes, early exits, lost answers (docs/incidents).

At fault: STOP_ANSWER and STOP_SLACK in agent/src/lifecycle.rs were added to the longest deadline of a class, while the platform counts 3 s of it at the most; answers_by was asked once, when a request was taken in, so that a later SIGTERM did not shorten it; and rest.pour in the clients' front never asked.

Now agent/src/permits/process_end.rs alone knows the platform's figures. SIGTERM sets one instant that every wait looks at: the front's, each attempt's, that of a long request, and the module's (Event::Shutdown, src/decide/shutdown.rs). The module hears the client's own time as before: cut by the end it would pass for a repeat.

--- a/agent/src/clients.rs
+++ b/agent/src/clients.rs
@@ -55,6 +55,10 @@
     /// The process is told to end.
     pub fn stop(&self) {
         self.order(LifeCycle::stop);
+        let answers_by = self.life.borrow().answers_by();
+        if let Some(by) = answers_by {
+            self.driver.shut_down(by);
+        }
     }
 
     /// Where it stands.
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -18,7 +18,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
@@ -42,6 +42,8 @@
     max_attempts: u32,
     /// The settings' number of agents.
     balancers: u32,
+    /// By when all that is open must have its answer, once the process was told to end.
+    answers_by: watch::Sender<Option<Instant>>,
 }
 
 /// A handle to the balancer and all that belongs to it.
@@ -63,8 +65,9 @@
         let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         let core = RefCell::new(Core { balancer, requests: Requests::default(), servers });
         let (clock, timers) = (Clock::new(), Timers::default());
-        let driver =
-            Driver(Rc::new(Inner { clock, core, timers, backends, commands, max_attempts, balancers }));
+        let answers_by = watch::Sender::default();
+        let inner = Inner { clock, core, timers, backends, commands, max_attempts, balancers, answers_by };
+        let driver = Driver(Rc::new(inner));
         let mut actions = Vec::new();
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
@@ -129,6 +132,26 @@
         self.0.backends.pool()
     }
 
+    // ---- the end of the process -----------------------------------------------------------------------
+
+    /// The process ends: whatever is open, and whatever still comes, has its answer by then.
+    pub fn shut_down(&self, answers_by: Instant) {
+        self.0.answers_by.send_replace(Some(answers_by));
+        let left = answers_by.saturating_duration_since(Instant::now());
+        let answers_by = self.0.clock.now() + Span(left.as_micros() as u64);
+        self.tell(Event::Shutdown { answers_by });
+    }
+
+    /// Comes back so long before the end of the process, once that is known, and never before.
+    pub async fn process_ends(&self, reserve: Duration) {
+        let mut answers_by = self.0.answers_by.subscribe();
+        let known = answers_by.wait_for(Option::is_some).await.ok().and_then(|by| *by);
+        match known {
+            Some(by) => sleep_until(by - reserve).await,
+            None => std::future::pending().await,
+        }
+    }
+
     // ---- events -------------------------------------------------------------------------------------
 
     /// Hands an event to the balancer and carries out what it decides. A panic of the module costs that event
@@ -156,7 +179,8 @@
         let (id, answer) =
             self.0.core.borrow_mut().requests.admit(call, call_id.clone(), arrival.deadline)?;
         events::request_taken(id, &call_id, arrival.class.0, arrival.deadline);
-        let left = arrival.deadline.saturating_duration_since(Instant::now());
+        // The module bounds it by the end of the process itself: what a client has left of its time is another fact.
+        let left = arrival.client_deadline.saturating_duration_since(Instant::now());
         self.tally().count(Count::Request);
         self.tell(Event::Request(Request {
             id,
@@ -289,6 +313,7 @@
         let given_up = tokio::select! {
             ended = exchange.as_mut() => return ended,
             () = time_up(call, until) => Outcome::TimedOut,
+            () = self.process_ends(ATTEMPT_RESERVE) => Outcome::TimedOut,
             Ok(()) = cancelled => Outcome::Cancelled,
         };
         match (progress.stage(), given_up) {
@@ -450,7 +475,8 @@
         };
         let deadline = Instant::now() + Duration::from_secs(60);
         let (class, tenant, key, cost_hint, repeat, coming) = (ClassId(0), None, None, None, false, false);
-        let arrival = Arrival { class, tenant, key, cost_hint, repeat, deadline, coming };
+        let arrival =
+            Arrival { class, tenant, key, cost_hint, repeat, client_deadline: deadline, deadline, coming };
         driver.submit(call, HeaderValue::from_static("id"), arrival).expect("the only one of its name")
     }
 
--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -180,6 +180,7 @@
             key: one(&head.headers, "x-route-hash").map(|key| KeyId(hash(key.as_bytes()))),
             cost_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-again") == Some("1"),
+            client_deadline: deadline,
             deadline,
             coming: is_long,
         };
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -23,7 +23,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::Notify;
-use tokio::time::error::Elapsed;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A client that hears nothing from the module gets its answer this long before it stops waiting.
@@ -219,7 +218,7 @@
 
     async fn pass_on(&self, seat: &Seat, taken: Taken) -> Result<Response<Reply>, Fault> {
         let Taken { call, call_id, arrival, bytes, rest } = taken;
-        let mut deadline = self.clients.answers_by(arrival.deadline);
+        let mut deadline = self.clients.answers_by(arrival.client_deadline);
         let arrival = Arrival { deadline, ..arrival };
         let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
             rest.into_iter().for_each(Remainder::give_up);
@@ -232,13 +231,14 @@
         if let Some(mut rest) = rest {
             let poured = tokio::select! {
                 biased;
-                answer = answer.as_mut() => Err(Ok(answer)),
+                answer = answer.as_mut() => Err(Ok(Some(answer))),
                 poured = rest.pour(seat, bytes) => poured.map_err(Err),
                 () = closed.as_mut() => Err(Err(CLIENT_GONE)),
+                () = self.driver.process_ends(ANSWER_RESERVE) => Err(Ok(None)),
             };
             if let Err(over) = poured {
                 rest.give_up();
-                let mut answer = worded(Ok(over?));
+                let mut answer = worded(over?);
                 events::request_answered(id, answer.status().as_u16());
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return Ok(answer);
@@ -250,28 +250,29 @@
         let by = deadline - ANSWER_RESERVE.min(deadline - Instant::now());
         let answer = tokio::select! {
             biased;
-            answer = timeout_at(by, answer) => worded(answer),
+            answer = timeout_at(by, answer) => worded(answer.ok()),
             () = closed => return Err(CLIENT_GONE),
+            () = self.driver.process_ends(ANSWER_RESERVE) => worded(None),
         };
         events::request_answered(id, answer.status().as_u16());
         Ok(answer)
     }
 }
 
-/// An answer in the protocol's words; none has come in time, or from the module at all, if there is none.
-fn worded(answer: Result<Result<Answer, RecvError>, Elapsed>) -> Response<Reply> {
+/// An answer in the protocol's words; `None` if none has come in time.
+fn worded(answer: Option<Result<Answer, RecvError>>) -> Response<Reply> {
     match answer {
-        Ok(Ok(Answer::Served(served))) => {
+        Some(Ok(Answer::Served(served))) => {
             let mut answer = Response::new(Reply::from(served.body));
             if let Some(kind) = served.content_type {
                 answer.headers_mut().insert(CONTENT_TYPE, kind);
             }
             answer
         }
-        Ok(Ok(Answer::Refused(retry_after))) => refused(retry_after),
-        Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Some(Ok(Answer::Refused(retry_after))) => refused(retry_after),
+        Some(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
         // The promise of one answer in time does not hang on the module.
-        Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+        None => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
     }
 }
 
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -40,6 +40,7 @@
 mod log;
 pub mod operators;
 mod peers;
+mod permits;
 mod requests;
 mod servers;
 mod share;
--- a/agent/src/lifecycle.rs
+++ b/agent/src/lifecycle.rs
@@ -12,6 +12,7 @@
 //! since whoever runs next takes what waits there, and to `Stopping` where the socket ends with this process. Nothing
 //! leads back from either. A drain is that of this agent, not of a server: the decision module never hears of it.
 
+use crate::permits::ProcessEnd;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,11 +27,6 @@
 /// Before a hand-over closes connections that rest: most are asked once more in that time, and end with the answer, which
 /// no request can cross.
 const HAND_OVER_REST: Duration = Duration::from_millis(1000);
-/// The end, counted from the stop over the longest deadline; the platform kills no sooner than 700 ms over it.
-const STOP_SLACK: Duration = Duration::from_millis(600);
-/// Answers to what came after the stop, with the same count: its own time may reach past the end.
-const STOP_ANSWER: Duration = Duration::from_millis(450);
-
 /// Where the process stands; instants are those of the order that led there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -66,7 +62,7 @@
     phase: Phase,
     /// The listening socket is the platform's.
     inherited: bool,
-    /// The longest that a request may take.
+    /// The longest deadline of a class.
     longest: Duration,
 }
 
@@ -177,13 +173,13 @@
         let (Phase::Stopping(since) | Phase::HandingOver(since)) = self.phase else { return false };
         let quiet = since + LINGER + if self.inherited { HAND_OVER_REST } else { ACCEPT_ON };
         let idle = open == 0 && !self.accepts(now);
-        idle || (owed == 0 && now >= quiet) || now >= since + self.longest + STOP_SLACK
+        idle || (owed == 0 && now >= quiet) || now >= ProcessEnd::new(since, self.longest).exit()
     }
 
     /// By when all that is taken must have its answer, if the process is to end.
     pub fn answers_by(&self) -> Option<Instant> {
         let (Phase::Stopping(since) | Phase::HandingOver(since)) = self.phase else { return None };
-        Some(since + self.longest + STOP_ANSWER)
+        Some(ProcessEnd::new(since, self.longest).answers_by())
     }
 
     /// When one of the answers above changes by itself, if one does.
@@ -273,8 +269,8 @@
         assert_eq!((life.rest(start), life.rest(start + ms(500))), (Resting::Stay, Resting::End));
         assert!(!life.exits(start + ms(499), 0, 0) && life.exits(start + ms(500), 0, 0));
         assert!(!life.exits(start + ms(899), 1, 0) && life.exits(start + ms(900), 1, 0));
-        let last = start + LONGEST + STOP_SLACK;
-        assert!(life.answers_by().is_some_and(|by| by < last) && STOP_SLACK < ms(700));
+        let last = start + LONGEST + ms(600);
+        assert!(life.answers_by().is_some_and(|by| by < last));
         assert!(!life.exits(last - ms(1), 1, 1) && life.exits(last, 1, 1));
     }
 
@@ -357,7 +353,7 @@
                 if let Some(since) = stop {
                     assert!(life.ends_connections() && !life.takes_clients());
                     assert!(!(inherited && life.accepts(now)));
-                    assert_eq!(life.exits(now, 9, 9), now >= since + LONGEST + STOP_SLACK);
+                    assert_eq!(life.exits(now, 9, 9), now >= since + LONGEST + ms(600));
                 }
                 let answers = (life.accepts(now), life.rest(now), life.exits(now, 9, 0));
                 // Without an order the answers change at the instants that were told, and at no other.
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -32,6 +32,8 @@
     /// The client says that it repeats an earlier one.
     pub repeat: bool,
     /// When the client stops waiting; for a request that is still coming, if it were whole now.
+    pub client_deadline: Instant,
+    /// By when it must have its answer: that, or the end of the process.
     pub deadline: Instant,
     /// Not all of it has come.
     pub coming: bool,
--- a/src/api.rs
+++ b/src/api.rs
@@ -609,6 +609,12 @@
     },
     /// News of the server list.
     List(ListUpdate),
+    /// The process ends: all that is open must have its answer by then, however long its client would wait. What comes later is
+    /// told with no more time than that.
+    Shutdown {
+        /// By when.
+        answers_by: Time,
+    },
     /// So many balancers share the servers from now on, this one included, in place of [`Settings::balancers`].
     Balancers(u32),
     /// Another balancer's message.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,6 +11,9 @@
 use crate::told::{lean, Hearsay, Told, Word};
 use std::collections::BTreeMap;
 
+mod long_requests;
+mod shutdown;
+
 /// Fresh draws of each pick, beside the one server that is remembered; the paper asks for one at the least.
 const DRAWS: usize = 3;
 /// Fresh draws come from a circle of as many servers as own requests reach in this many seconds, or of the
@@ -278,6 +281,8 @@
     ask_pause: Span,
     ask_at: Option<Time>,
     tick_at: Time,
+    /// No request is decided to a later deadline than this; set when the process ends.
+    answers_by: Time,
 }
 
 impl Balancer {
@@ -310,6 +315,7 @@
             ask_pause: ASK_AGAIN,
             ask_at: None,
             tick_at: Time(0),
+            answers_by: Time(u64::MAX),
             settings,
         })
     }
@@ -331,6 +337,7 @@
             Event::FirstByte { request, attempt } => self.begin(now, request, attempt, out),
             Event::Outcome { .. } => self.outcome(now, event, out),
             Event::ClientGone { request } => drop(self.live.remove(&request)),
+            Event::Shutdown { answers_by } => self.shut_down(now, answers_by, out),
             Event::Balancers(number) => self.settings.balancers = number.max(1),
             Event::Timer(TICK) => self.tick(now, out),
             Event::Timer(LOOKED) => self.settle(now, |look| look.until <= now, out),
@@ -362,7 +369,7 @@
             _ => *votes -= 1,
         }
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
-        let deadline = now + request.time_left;
+        let deadline = (now + request.time_left).min(self.answers_by);
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
         let over_share = self.over_share(now, &request);
         let (attempts, bound, picks) = (Vec::new(), false, 0);
@@ -720,37 +727,6 @@
 
     // ---- what follows an outcome --------------------------------------------------------------------
 
-    /// What a request has sent or been given can't be taken back: no other attempt stands in for this one.
-    fn bind(&mut self, id: RequestId, attempt: AttemptNo) {
-        if let Some(live) = self.live.get_mut(&id) {
-            live.bound = (attempt.0 as usize) < live.attempts.len();
-        }
-    }
-
-    /// All of a request has come: its time runs from now, and so does that of its attempt.
-    fn whole(&mut self, now: Time, id: RequestId) {
-        let Some(live) = self.live.get_mut(&id).filter(|live| live.request.coming) else { return };
-        let late = (now + live.request.time_left).since(live.deadline);
-        live.request.coming = false;
-        (live.deadline, live.wanted_by) = (live.deadline + late, live.wanted_by + late);
-        let flights = self.flights.range_mut((id, 0)..=(id, u32::MAX)).map(|(_, flight)| flight);
-        for flight in flights.filter(|flight| flight.stage == Stage::Coming) {
-            (flight.sent, flight.stage) = (now, Stage::Out);
-            self.servers[flight.server].in_flight += 1;
-        }
-    }
-
-    /// A long answer has begun: its server's work on it is done, and only the rest of it is out.
-    fn begin(&mut self, now: Time, id: RequestId, attempt: AttemptNo, out: &mut Vec<Action>) {
-        self.bind(id, attempt);
-        let Some(mut flight) = self.flights.remove(&(id, attempt.0)) else { return };
-        self.land(&flight);
-        if std::mem::replace(&mut flight.stage, Stage::Begun) != Stage::Begun {
-            self.learn(now, &flight, Outcome::Success, now.since(flight.sent), out);
-        }
-        self.flights.insert((id, attempt.0), Flight { stuck: false, trial: None, ..flight });
-    }
-
     /// An attempt holds no place at its server any more.
     fn land(&mut self, flight: &Flight) {
         self.servers[flight.server].in_flight -= u32::from(flight.stage == Stage::Out);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -36,6 +36,8 @@
     sends: VecDeque<(Time, ServerId, f64)>,
     warm: BTreeSet<ServerId>,
     warm_since: Time,
+    /// The end of the process, once it is known: no deadline lies behind it.
+    answers_by: Time,
     pub faults: Vec<String>,
 }
 
@@ -49,6 +51,7 @@
             sends: VecDeque::new(),
             warm: BTreeSet::new(),
             warm_since: Time(0),
+            answers_by: Time(u64::MAX / 2),
             faults: Vec::new(),
         }
     }
@@ -64,7 +67,11 @@
                     class: r.class.0,
                     work: r.cost_hint.map_or(1.0, |h| h.ms() / 40.0),
                     // The time of one that is still coming has not begun.
-                    deadline: if r.coming { Time(u64::MAX / 2) } else { now + r.time_left },
+                    deadline: self.answers_by.min(if r.coming {
+                        Time(u64::MAX / 2)
+                    } else {
+                        now + r.time_left
+                    }),
                     time_left: r.time_left,
                     tries: Vec::new(),
                     over: false,
@@ -87,7 +94,13 @@
             }
             Event::Whole { request } => {
                 if let Some(seen) = self.requests.get_mut(request) {
-                    seen.deadline = now + seen.time_left;
+                    seen.deadline = self.answers_by.min(now + seen.time_left);
+                }
+            }
+            Event::Shutdown { answers_by } => {
+                self.answers_by = *answers_by;
+                for seen in self.requests.values_mut() {
+                    seen.deadline = seen.deadline.min(*answers_by);
                 }
             }
             Event::ClientGone { request } => {
