Permits: one module decides what may be taken in, begun, repeated, closed and ended now

Whether an attempt may begin was asked in driver.rs with three facts, of which none was the deadline or what earlier attempts had done; a close was told from six places with rules of their own; the end stood in lifecycle.rs.

The life cycle moved there.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -144,7 +144,9 @@
                 }
             }
             server.settle();
-            if stopped && clients.exits(server.connections(), server.owed()) {
+            let permit = clients.exits(server.connections(), server.owed());
+            if let Some(permit) = permit.filter(|_| stopped) {
+                server.end_process(permit);
                 return;
             }
         }
--- a/agent/src/clients.rs
+++ b/agent/src/clients.rs
@@ -2,8 +2,9 @@
 
 use crate::driver::Driver;
 use crate::events;
-use crate::lifecycle::{LifeCycle, OnItsWayOut, Phase, Resting};
 use crate::log::log;
+use crate::permits::lifecycle::{ExitPermit, LifeCycle, OnItsWayOut, Phase, Resting};
+use crate::permits::violations::Violations;
 use std::cell::RefCell;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -55,12 +56,17 @@
     /// The process is told to end.
     pub fn stop(&self) {
         self.order(LifeCycle::stop);
-        let answers_by = self.life.borrow().answers_by();
+        let answers_by = self.answers_by();
         if let Some(by) = answers_by {
             self.driver.shut_down(by);
         }
     }
 
+    /// What this process did against the rules.
+    pub fn violations(&self) -> &Violations {
+        self.driver.violations()
+    }
+
     /// Where it stands.
     pub fn phase(&self) -> Phase {
         self.life.borrow().phase()
@@ -93,13 +99,13 @@
         self.life.borrow().rest(Instant::now())
     }
 
-    /// By when what is taken now must have its answer, whatever time its client gives it: `deadline`, or the end.
-    pub fn answers_by(&self, deadline: Instant) -> Instant {
-        self.life.borrow().answers_by().map_or(deadline, |by| by.min(deadline))
+    /// By when all that is taken must have its answer, if the process is to end.
+    pub fn answers_by(&self) -> Option<Instant> {
+        self.life.borrow().answers_by()
     }
 
-    /// Whether the process ends now.
-    pub fn exits(&self, open: usize, owed: usize) -> bool {
+    /// Whether the process may end now.
+    pub fn exits(&self, open: usize, owed: usize) -> Option<ExitPermit> {
         self.life.borrow().exits(Instant::now(), open, owed)
     }
 
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -4,6 +4,11 @@
 use crate::events;
 use crate::list::{Commands, ListReply};
 use crate::log::log;
+use crate::permits::admission::Admission;
+use crate::permits::attempt::{
+    attempt, AttemptDenied, AttemptFacts, AttemptPermit, AttemptState, EarlierAttempt, FirstByte, ServerFacts,
+};
+use crate::permits::violations::{BegunAttempt, Violations};
 use crate::requests::{Answer, Arrival, Departure, Requests};
 use crate::servers::Servers;
 use crate::tally::{Count, Tally};
@@ -40,6 +45,10 @@
     backends: Rc<Backends>,
     commands: Rc<Commands>,
     max_attempts: u32,
+    /// What each class allows.
+    effects: Vec<Effect>,
+    second_copies: bool,
+    violations: Violations,
     /// The settings' number of agents.
     balancers: u32,
     /// By when all that is open must have its answer, once the process was told to end.
@@ -61,12 +70,26 @@
         commands: Rc<Commands>,
     ) -> Result<Driver, String> {
         let (max_attempts, balancers) = (settings.max_attempts, settings.balancers);
+        let effects = settings.classes.iter().map(|class| class.effect).collect();
+        let second_copies = settings.second_copies;
         let servers = Servers::new(names.0, names.1, Duration::from_micros(settings.drain_grace.0));
         let balancer = Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         let core = RefCell::new(Core { balancer, requests: Requests::default(), servers });
         let (clock, timers) = (Clock::new(), Timers::default());
         let answers_by = watch::Sender::default();
-        let inner = Inner { clock, core, timers, backends, commands, max_attempts, balancers, answers_by };
+        let inner = Inner {
+            clock,
+            core,
+            timers,
+            backends,
+            commands,
+            max_attempts,
+            effects,
+            second_copies,
+            violations: Violations::default(),
+            balancers,
+            answers_by,
+        };
         let driver = Driver(Rc::new(inner));
         let mut actions = Vec::new();
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
@@ -127,6 +150,11 @@
         self.tally().clone().tell(period, levels).await;
     }
 
+    /// What was done against the rules, which is nothing as long as all is well.
+    pub fn violations(&self) -> &Violations {
+        &self.0.violations
+    }
+
     /// The connections to servers.
     pub fn pool(&self) -> &Pool {
         self.0.backends.pool()
@@ -137,6 +165,7 @@
     /// The process ends: whatever is open, and whatever still comes, has its answer by then.
     pub fn shut_down(&self, answers_by: Instant) {
         self.0.answers_by.send_replace(Some(answers_by));
+        self.0.core.borrow_mut().requests.bound(answers_by);
         let left = answers_by.saturating_duration_since(Instant::now());
         let answers_by = self.0.clock.now() + Span(left.as_micros() as u64);
         self.tell(Event::Shutdown { answers_by });
@@ -175,10 +204,14 @@
         call: Call,
         call_id: HeaderValue,
         arrival: Arrival,
+        admission: Admission,
     ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
-        let (id, answer) =
-            self.0.core.borrow_mut().requests.admit(call, call_id.clone(), arrival.deadline)?;
-        events::request_taken(id, &call_id, arrival.class.0, arrival.deadline);
+        let deadline = admission.deadline();
+        let (id, answer) = {
+            let requests = &mut self.0.core.borrow_mut().requests;
+            requests.admit(call, call_id.clone(), arrival.class, arrival.coming, admission)?
+        };
+        events::request_taken(id, &call_id, arrival.class.0, deadline);
         // The module bounds it by the end of the process itself: what a client has left of its time is another fact.
         let left = arrival.client_deadline.saturating_duration_since(Instant::now());
         self.tally().count(Count::Request);
@@ -213,7 +246,7 @@
 
     /// An attempt is over: a served request has its answer at once, whatever the module thinks of it.
     fn attempt_over(&self, id: RequestId, attempt: u32, sent: Instant, ended: Ended) {
-        let arrived = self.0.core.borrow_mut().requests.arrive(id, attempt, ended.served);
+        let arrived = self.0.core.borrow_mut().requests.arrive(id, attempt, ended.outcome, ended.served);
         self.tally().count(Count::Outcome(ended.outcome));
         events::attempt_ended(id, attempt, ended.outcome, sent.elapsed());
         let Some(closed) = arrived else { return };
@@ -289,8 +322,10 @@
         tokio::task::spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let owner = Sending { driver: &driver, id, attempt, place, begin_by };
+                    let begun = RefCell::default();
+                    let owner = Sending { driver: &driver, id, attempt, place, begin_by, begun };
                     let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
+                    driver.check_begun(&owner);
                     driver.leave(server);
                     ended
                 }
@@ -326,22 +361,55 @@
 
     /// A send counts from its first byte, which a wait for a connection may put off: its server may have been told to drain
     /// since, its client may have gone or have its answer, and the time of its key may be over.
-    fn may_send(&self, sending: &Sending<'_>) -> bool {
+    fn permit(&self, sending: &Sending<'_>) -> Result<AttemptPermit, AttemptDenied> {
+        let now = Instant::now();
+        let Place { server, life, .. } = sending.place;
+        let core = &mut *self.0.core.borrow_mut();
+        let request = core.requests.facts(sending.id, sending.attempt).ok_or(AttemptDenied::NotOwed)?;
+        let server = core.servers.facts(server, life).ok_or(AttemptDenied::ServerLeft)?;
+        let permit = attempt(&AttemptFacts {
+            now,
+            answer_is_owed: request.answer_is_owed,
+            deadline: request.deadline,
+            begin_by: sending.begin_by,
+            server,
+            effect: self.effect(request.class),
+            second_copies: self.0.second_copies,
+            earlier: &request.earlier,
+        })?;
+        let ServerFacts { zone, cell, .. } = server;
+        let itself = EarlierAttempt { zone, cell, begun: now, state: AttemptState::Out };
+        core.requests.begin_attempt(sending.id, sending.attempt, itself);
+        let first_byte = permit.first_byte();
+        *sending.begun.borrow_mut() = Some(Begun { first_byte, itself, before: request.earlier });
+        Ok(permit)
+    }
+
+    fn effect(&self, class: ClassId) -> Effect {
+        self.0.effects.get(class.0).copied().unwrap_or(Effect::AtMostOnce)
+    }
+
+    /// Compares an attempt that has begun with the rules once more. Its request is known as long as it is out.
+    fn check_begun(&self, sending: &Sending<'_>) {
+        let Some(Begun { first_byte, itself, before }) = sending.begun.take() else { return };
+        let Some(first_byte) = first_byte.written_at() else { return };
         let core = self.0.core.borrow();
-        let denied = if sending.begin_by.is_some_and(|by| Instant::now() >= by) {
-            Some("begin-by")
-        } else if !core.servers.is_current(sending.place.server, sending.place.life) {
-            Some("server-left")
-        } else if !core.requests.is_owed(sending.id) {
-            Some("not-owed")
-        } else {
-            None
+        let Some(request) = core.requests.facts(sending.id, sending.attempt) else { return };
+        let Sending { id, attempt, place, .. } = sending;
+        let begun = BegunAttempt {
+            first_byte,
+            answered_at: request.answered_at,
+            deadline: request.deadline,
+            server_off_since: core.servers.off_since(place.server),
+            drain_grace: core.servers.drain_grace(),
+            effect: self.effect(request.class),
+            itself,
+            before,
         };
-        match denied {
-            Some(reason) => events::attempt_denied(sending.id, sending.attempt, reason),
-            None => events::attempt_begun(sending.id, sending.attempt),
-        }
-        denied.is_none()
+        let since = first_byte.elapsed().as_millis();
+        let detail =
+            format!("request {}, attempt {attempt}, server {}, {since} ms ago", id.0, place.server.0);
+        self.0.violations.check_attempt(&begun, &detail);
     }
 
     /// An attempt or a probe is no longer out.
@@ -403,6 +471,13 @@
     }
 }
 
+/// An attempt that was allowed to begin, and how its request stood then.
+struct Begun {
+    first_byte: FirstByte,
+    itself: EarlierAttempt,
+    before: Vec<EarlierAttempt>,
+}
+
 /// An attempt that is out, as the backends' side asks about it.
 struct Sending<'a> {
     driver: &'a Driver,
@@ -410,11 +485,22 @@
     attempt: u32,
     place: Place,
     begin_by: Option<Instant>,
+    /// The last permit that it got.
+    begun: RefCell<Option<Begun>>,
 }
 
 impl Owner for Sending<'_> {
-    fn may_send(&self) -> bool {
-        self.driver.may_send(self)
+    fn permit(&self) -> Option<AttemptPermit> {
+        match self.driver.permit(self) {
+            Ok(permit) => {
+                events::attempt_begun(self.id, self.attempt);
+                Some(permit)
+            }
+            Err(denied) => {
+                events::attempt_denied(self.id, self.attempt, denied.name());
+                None
+            }
+        }
     }
 
     fn bind(&self) {
@@ -436,6 +522,7 @@
 mod tests {
     use super::*;
     use crate::budget::Budget;
+    use crate::permits::admission::admit;
     use hyper::{HeaderMap, Method, Uri};
     use std::collections::HashSet;
     use std::net::SocketAddr;
@@ -475,9 +562,11 @@
         };
         let deadline = Instant::now() + Duration::from_secs(60);
         let (class, tenant, key, cost_hint, repeat, coming) = (ClassId(0), None, None, None, false, false);
-        let arrival =
-            Arrival { class, tenant, key, cost_hint, repeat, client_deadline: deadline, deadline, coming };
-        driver.submit(call, HeaderValue::from_static("id"), arrival).expect("the only one of its name")
+        let arrival = Arrival { class, tenant, key, cost_hint, repeat, client_deadline: deadline, coming };
+        let admission = admit(Instant::now(), deadline, None).expect("no end of the process");
+        driver
+            .submit(call, HeaderValue::from_static("id"), arrival, admission)
+            .expect("the only one of its name")
     }
 
     /// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
--- a/agent/src/events.rs
+++ b/agent/src/events.rs
@@ -32,6 +32,14 @@
     }
 }
 
+/// A request was not taken in, and why.
+pub fn request_denied(call_id: &HeaderValue, reason: &str) {
+    if are_read() {
+        let call = call_id.to_str().unwrap_or_default();
+        tracing::debug!(target: TARGET, call, reason, "denied");
+    }
+}
+
 /// An attempt was ordered, and will be waited for until `until`.
 pub fn attempt_ordered(request: RequestId, attempt: u32, server: ServerId, until: Instant) {
     if are_read() {
--- a/agent/src/fronts/admin.rs
+++ b/agent/src/fronts/admin.rs
@@ -22,6 +22,8 @@
 use tokio::task::{spawn_local, yield_now, AbortHandle};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+/// Where operators see whether anything was done against the rules.
+const PERMITS: &str = "/permits";
 /// Most callers at once; their descriptors come out of those that are kept back.
 pub const CALLERS_MOST: usize = 16;
 /// A caller who has not been answered by then says nothing, or only half a call.
@@ -124,7 +126,7 @@
 
 fn answer(clients: &Clients, peers: Option<&Peers>, method: &Method, path: &str) -> Response<Full<Bytes>> {
     let allowed = match path {
-        "/healthcheck" => Method::GET,
+        "/healthcheck" | PERMITS => Method::GET,
         "/fleet" | operators::configuration::PATH if peers.is_none() => {
             return no_fleet();
         }
@@ -144,6 +146,7 @@
         return answer;
     }
     match path {
+        PERMITS => return json(&permits(clients)),
         "/fleet" => return peers.map_or_else(no_fleet, |peers| json(&peers.describe())),
         operators::configuration::PATH => return peers.map_or_else(no_fleet, configuration::show),
         "/healthcheck/fail" => clients.fail(),
@@ -157,6 +160,12 @@
     text(status, clients.phase().name())
 }
 
+/// What was done against the rules, in all and by kind.
+fn permits(clients: &Clients) -> serde_json::Value {
+    let violations = clients.violations();
+    serde_json::json!({"violations": violations.total(), "by_kind": violations.counts()})
+}
+
 fn no_fleet() -> Response<Full<Bytes>> {
     text(StatusCode::NOT_FOUND, "this agent keeps no view of the fleet: [fleet] is off")
 }
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -1,6 +1,7 @@
 //! The clients' connections: which may stay, and which must go to make room or because nothing comes of them.
 
 use crate::events;
+use crate::permits::closing::{close, CloseManner, ClosePermit, CloseReason, ConnectionFacts};
 use crate::wire::View;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -43,52 +44,6 @@
     Leaving,
 }
 
-/// How a connection is to end.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum End {
-    /// When what is owed on it has been given.
-    Gently,
-    /// Now.
-    AtOnce,
-}
-
-/// Why a connection is told to end.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum CloseReason {
-    /// Its client takes nothing of its answer.
-    StuckReader,
-    /// It has rested for too long.
-    Idle,
-    /// It is new and has said nothing.
-    Silent,
-    /// Half the head of a request has come, and no more.
-    HeadOverdue,
-    /// It was turned away and has not ended.
-    TurnedAway,
-    /// Another connection needs its place.
-    Evicted,
-    /// Too many rest.
-    Crowded,
-    /// The process ends, or its clients are sent away.
-    Leaving,
-}
-
-impl CloseReason {
-    /// The word for it in events.
-    fn name(self) -> &'static str {
-        match self {
-            CloseReason::StuckReader => "stuck-reader",
-            CloseReason::Idle => "idle",
-            CloseReason::Silent => "silent",
-            CloseReason::HeadOverdue => "head-overdue",
-            CloseReason::TurnedAway => "turned-away",
-            CloseReason::Evicted => "evicted",
-            CloseReason::Crowded => "crowded",
-            CloseReason::Leaving => "leaving",
-        }
-    }
-}
-
 /// What a connection shows of itself to the others.
 pub struct Seat {
     number: u64,
@@ -100,7 +55,7 @@
     reused: Cell<bool>,
     /// What had been received when the last answer was given.
     mark: Cell<u64>,
-    end: Cell<Option<End>>,
+    end: Cell<Option<CloseManner>>,
     ending: Notify,
 }
 
@@ -160,40 +115,70 @@
         self.enter(if leaves { Phase::Leaving } else { Phase::Waiting });
     }
 
-    fn tell(&self, end: End, reason: CloseReason) {
-        if self.end.get() != Some(End::AtOnce) {
-            if self.end.get() != Some(end) {
-                events::connection_closed(self.number, reason.name(), end == End::AtOnce);
-            }
-            self.end.set(Some(end));
-            self.ending.notify_one();
+    /// Which connection this is, in events.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Its client takes nothing of its answer for longer than it may.
+    pub fn is_stuck(&self) -> bool {
+        let now = Instant::now();
+        self.view.stuck_since().is_some_and(|since| now.saturating_duration_since(since) > STUCK_WAIT)
+    }
+
+    /// Its client has not closed it.
+    pub fn client_stays(&self) -> bool {
+        self.view.is_open()
+    }
+
+    /// A whole request has come, and has no answer.
+    pub fn owes_answer(&self) -> bool {
+        self.phase.get() == Phase::Busy
+    }
+
+    /// Asks how it may be closed, and closes it so.
+    fn close(&self, wanted: CloseManner, reason: CloseReason) {
+        let facts =
+            ConnectionFacts { answer_is_owed: self.owes_answer(), has_unread: self.view.has_unread() };
+        self.tell(close(facts, wanted, reason));
+    }
+
+    fn tell(&self, permit: ClosePermit) {
+        let before = self.end.get();
+        if before == Some(CloseManner::AtOnce) {
+            return;
         }
+        let manner = permit.manner();
+        if before != Some(manner) {
+            let at_once = manner == CloseManner::AtOnce;
+            events::connection_closed(self.number, permit.reason().name(), at_once);
+        }
+        self.end.set(Some(manner));
+        self.ending.notify_one();
     }
 
     /// Comes back when it is told to end, or to end sooner.
-    pub async fn ended(&self) -> End {
+    pub async fn ended(&self) -> CloseManner {
         self.ending.notified().await;
-        self.end.get().unwrap_or(End::Gently)
+        self.end.get().unwrap_or(CloseManner::Gently)
     }
 
     /// Whether its time is over.
-    fn overdue(&self, now: Instant) -> Option<(End, CloseReason)> {
+    fn overdue(&self, now: Instant) -> Option<(CloseManner, CloseReason)> {
         let received = self.view.received();
         if self.phase.get() == Phase::Waiting && received > self.mark.get() {
             self.phase.set(Phase::Reading);
             self.since.set(now);
         }
         let age = now.saturating_duration_since(self.since.get());
-        let stuck =
-            self.view.stuck_since().is_some_and(|since| now.saturating_duration_since(since) > STUCK_WAIT);
         match self.phase.get() {
-            _ if stuck => Some((End::AtOnce, CloseReason::StuckReader)),
+            _ if self.is_stuck() => Some((CloseManner::AtOnce, CloseReason::StuckReader)),
             Phase::Waiting if self.used.get() => {
-                (age > IDLE_WAIT).then_some((End::Gently, CloseReason::Idle))
+                (age > IDLE_WAIT).then_some((CloseManner::Gently, CloseReason::Idle))
             }
-            Phase::Waiting => (age > FIRST_WAIT).then_some((End::AtOnce, CloseReason::Silent)),
-            Phase::Reading => (age > HEAD_WAIT).then_some((End::AtOnce, CloseReason::HeadOverdue)),
-            Phase::Leaving => (age > LEAVE_WAIT).then_some((End::AtOnce, CloseReason::TurnedAway)),
+            Phase::Waiting => (age > FIRST_WAIT).then_some((CloseManner::AtOnce, CloseReason::Silent)),
+            Phase::Reading => (age > HEAD_WAIT).then_some((CloseManner::AtOnce, CloseReason::HeadOverdue)),
+            Phase::Leaving => (age > LEAVE_WAIT).then_some((CloseManner::AtOnce, CloseReason::TurnedAway)),
             Phase::Taking | Phase::Busy => None,
         }
     }
@@ -287,7 +272,8 @@
                 continue;
             }
             // A request may just be on its way on one that has been used.
-            seat.tell(if rank == 2 { End::Gently } else { End::AtOnce }, CloseReason::Evicted);
+            let wanted = if rank == 2 { CloseManner::Gently } else { CloseManner::AtOnce };
+            seat.close(wanted, CloseReason::Evicted);
             return;
         }
     }
@@ -297,7 +283,7 @@
         let (now, seats) = (Instant::now(), self.seats.borrow());
         for seat in seats.values() {
             if let Some((end, reason)) = seat.overdue(now) {
-                seat.tell(end, reason);
+                seat.close(end, reason);
             }
         }
         let rests = |seat: &&Rc<Seat>| {
@@ -308,7 +294,7 @@
             if seats.len() > most { seats.values().filter(rests).collect() } else { Vec::new() };
         resting.sort_by_key(|seat| (seat.reused.get(), seat.since.get()));
         for seat in resting.into_iter().take(seats.len().saturating_sub(most)) {
-            seat.tell(End::Gently, CloseReason::Crowded);
+            seat.close(CloseManner::Gently, CloseReason::Crowded);
         }
     }
 
@@ -318,14 +304,15 @@
         seats
             .values()
             .filter(|seat| seat.end.get().is_none())
-            .for_each(|seat| seat.tell(End::Gently, CloseReason::Leaving));
+            .for_each(|seat| seat.close(CloseManner::Gently, CloseReason::Leaving));
     }
 
     /// Ends now all that owe no answer, but for those whose request has come unread.
     pub fn end_all_at_once(&self) {
         for seat in self.seats.borrow().values() {
-            let owes = seat.is_busy() || seat.view.has_unread();
-            seat.tell(if owes { End::Gently } else { End::AtOnce }, CloseReason::Leaving);
+            // The body of a request that comes is waited for as long as that may take.
+            let wanted = if seat.is_busy() { CloseManner::Gently } else { CloseManner::AtOnce };
+            seat.close(wanted, CloseReason::Leaving);
         }
     }
 
@@ -335,5 +322,12 @@
     }
 }
 
+impl Seats {
+    /// How many owe the answer to a whole request.
+    pub fn owing(&self) -> usize {
+        self.seats.borrow().values().filter(|seat| seat.owes_answer()).count()
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -2,13 +2,16 @@
 
 use super::intake::{check_end, Catalogue, Fault, Remainder, Taken};
 use super::reply::Reply;
-use super::seats::{End, Seat, Seats};
+use super::seats::{Seat, Seats};
 use crate::clients::Clients;
 use crate::driver::Driver;
 use crate::events;
-use crate::lifecycle::Resting;
 use crate::log::log;
-use crate::requests::{Answer, Arrival};
+use crate::permits::admission::admit;
+use crate::permits::closing::CloseManner;
+use crate::permits::lifecycle::{ExitPermit, Resting};
+use crate::permits::violations::Violation;
+use crate::requests::Answer;
 use crate::wire::{Gauge, Wire};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -39,6 +42,8 @@
 /// When to come back if there was no memory for a body: others are done with theirs by then.
 const BODY_RETRY: Span = Span(100_000);
 
+/// The process could not answer it before its end; it was not forwarded.
+const NO_TIME: Fault = (StatusCode::SERVICE_UNAVAILABLE, "the process ends");
 /// Nobody reads this.
 const CLIENT_GONE: Fault = (StatusCode::BAD_REQUEST, "the client has gone");
 
@@ -147,6 +152,21 @@
         self.seats.owed()
     }
 
+    /// The process ends by this permit: whatever is owed at that moment is lost.
+    pub fn end_process(&self, _permit: ExitPermit) {
+        let owing = self.seats.owing();
+        if owing > 0 {
+            self.driver.violations().record(Violation::ExitOwing, &format!("{owing} answers"));
+        }
+    }
+
+    /// A connection has been closed from this side, and its client is there: nothing may be owed on it.
+    fn check_closed(&self, seat: &Seat) {
+        if seat.owes_answer() && !seat.is_stuck() && seat.client_stays() {
+            self.driver.violations().record(Violation::ClosedOwing, &format!("connection {}", seat.number()));
+        }
+    }
+
     async fn converse(self: &Rc<Self>, seat: &Rc<Seat>, wire: Wire) {
         let service = service_fn(|request| {
             let (server, seat) = (Rc::clone(self), Rc::clone(seat));
@@ -166,34 +186,39 @@
         // The sweep ends half a request; a timer for each head would cost more.
         builder.header_read_timeout(None).max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
         let mut connection = pin!(builder.serve_connection(wire, service));
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            end = seat.ended() => if end == End::AtOnce { return },
-        }
-        let gently = async {
-            // A request that has come but was not read yet, or half of one, must not be cut off by the close; how long its head
-            // may take the sweep says.
-            while !seat.is_busy() && seat.has_begun() {
-                if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
-                    return;
-                }
+        let drive = async {
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                end = seat.ended() => if end == CloseManner::AtOnce { return },
             }
-            // hyper would close one that has had no request yet. At a stop or in a drain its client has just come and
-            // is about to ask, perhaps with no listener left to turn to: it keeps its connection for that one answer.
-            if seat.is_used() || !self.clients.ends_connections() {
-                connection.as_mut().graceful_shutdown();
+            let gently = async {
+                // A request that has come but was not read yet, or half of one, must not be cut off by the close; how long
+                // its head may take the sweep says.
+                while !seat.is_busy() && seat.has_begun() {
+                    if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
+                        return;
+                    }
+                }
+                // hyper would close one that has had no request yet. At a stop or in a drain its client has just come and
+                // is about to ask, perhaps with no listener left to turn to: it keeps its connection for that one answer.
+                if seat.is_used() || !self.clients.ends_connections() {
+                    connection.as_mut().graceful_shutdown();
+                }
+                // What is left is to pass on an answer that is owed or has been given; a client that does not read, or
+                // has begun a request and says no more, must not keep its seat.
+                while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err()
+                    && (seat.is_busy() || self.clients.ends_connections())
+                {}
+            };
+            let at_once = async { while seat.ended().await != CloseManner::AtOnce {} };
+            tokio::select! {
+                () = gently => {}
+                () = at_once => {}
             }
-            // What is left is to pass on an answer that is owed or has been given; a client that does not read, or
-            // has begun a request and says no more, must not keep its seat.
-            while timeout(CLOSE_WAIT, connection.as_mut()).await.is_err()
-                && (seat.is_busy() || self.clients.ends_connections())
-            {}
         };
-        let at_once = async { while seat.ended().await != End::AtOnce {} };
-        tokio::select! {
-            () = gently => {}
-            () = at_once => {}
-        }
+        drive.await;
+        // The connection is there until it is dropped, and so is what its client may still be owed.
+        self.check_closed(seat);
     }
 
     /// One request, one answer.
@@ -218,9 +243,16 @@
 
     async fn pass_on(&self, seat: &Seat, taken: Taken) -> Result<Response<Reply>, Fault> {
         let Taken { call, call_id, arrival, bytes, rest } = taken;
-        let mut deadline = self.clients.answers_by(arrival.client_deadline);
-        let arrival = Arrival { deadline, ..arrival };
-        let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
+        let admission = match admit(Instant::now(), arrival.client_deadline, self.clients.answers_by()) {
+            Ok(admission) => admission,
+            Err(denied) => {
+                events::request_denied(&call_id, denied.name());
+                rest.into_iter().for_each(Remainder::give_up);
+                return Err(NO_TIME);
+            }
+        };
+        let mut deadline = admission.deadline();
+        let Some((id, answer)) = self.driver.submit(call, call_id, arrival, admission) else {
             rest.into_iter().for_each(Remainder::give_up);
             return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
@@ -243,7 +275,8 @@
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 return Ok(answer);
             }
-            deadline = rest.finish(|deadline| self.clients.answers_by(deadline));
+            let answers_by = self.clients.answers_by();
+            deadline = rest.finish(|deadline| answers_by.map_or(deadline, |by| by.min(deadline)));
             self.driver.whole(id, deadline);
         }
         seat.take();
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -34,7 +34,6 @@
 mod head;
 mod hollow;
 mod inherit;
-mod lifecycle;
 mod limits;
 mod list;
 mod log;
--- /dev/null
+++ b/agent/src/permits/attempt/tests.rs
@@ -0,0 +1,125 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use ryelead::Span;
+
+/// One request's life on a grid of milliseconds, as it is drawn.
+#[derive(Clone, Debug)]
+struct History {
+    effect: u8,
+    second_copies: bool,
+    window_ms: u64,
+    deadline_ms: u64,
+    answered_ms: u64,
+    drained_ms: u64,
+    /// When each attempt asks to begin, its zone, how long until it ends, and whether that proves that it never ran.
+    attempts: Vec<(u64, u32, u64, bool)>,
+}
+
+fn history() -> impl Strategy<Value = History> {
+    let attempt = (0..400u64, 0..2u32, 0..200u64, any::<bool>());
+    let attempts = proptest::collection::vec(attempt, 1..6);
+    (0..4u8, any::<bool>(), 1..300u64, 1..400u64, 1..600u64, 1..600u64, attempts).prop_map(|drawn| {
+        let (effect, second_copies, window_ms, deadline_ms, answered_ms, drained_ms, mut attempts) = drawn;
+        attempts.sort_unstable();
+        History { effect, second_copies, window_ms, deadline_ms, answered_ms, drained_ms, attempts }
+    })
+}
+
+impl History {
+    fn effect(&self) -> Effect {
+        let window = Span(self.window_ms * 1000);
+        match self.effect {
+            0 => Effect::Idempotent,
+            1 => Effect::AtMostOnce,
+            2 => Effect::Deduplicated { group: Group::All, window },
+            _ => Effect::Deduplicated { group: Group::Zone, window },
+        }
+    }
+
+    /// The pages' sentences, one after the other, for an attempt that asks at `at_ms` after those that began: (when, zone, end,
+    /// never ran).
+    fn is_lawful(&self, at_ms: u64, zone: u32, begun: &[(u64, u32, u64, bool)]) -> bool {
+        // "Sending a ROUTE for a request the instance finished itself ... breaks the rule."
+        if at_ms >= self.answered_ms || at_ms >= self.deadline_ms {
+            return false;
+        }
+        // "Never ROUTE to a backend ... after this instance was told it is DRAINING or DELETED"; nothing of the grace is used.
+        if at_ms >= self.drained_ms {
+            return false;
+        }
+        // "Where secondCopies is false, a request can never have two attempts out at the same time."
+        if !self.second_copies && begun.iter().any(|(_, _, end, _)| at_ms < *end) {
+            return false;
+        }
+        let might_have_run: Vec<_> =
+            begun.iter().filter(|(_, _, end, never_ran)| at_ms < *end || !never_ran).collect();
+        match self.effect {
+            0 => true,
+            // "allowed only when every earlier attempt has an outcome proving it never ran"
+            1 => might_have_run.is_empty(),
+            // "must go to backends in the same group ... and within dedupWindowMs of when it was sent"
+            effect => might_have_run.iter().all(|(sent, first_zone, _, _)| {
+                at_ms < sent + self.window_ms && (effect == 2 || *first_zone == zone)
+            }),
+        }
+    }
+}
+
+/// Thousands of histories: what is allowed is what the pages allow, no more and no less.
+#[test]
+fn an_attempt_may_begin_exactly_when_the_pages_let_it() {
+    let start = Instant::now();
+    let instant = |ms: u64| start + Duration::from_millis(ms);
+    let config = Config { cases: 20_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let played = TestRunner::new_with_rng(config, rng).run(&history(), |history| {
+        let mut begun: Vec<(u64, u32, u64, bool)> = Vec::new();
+        for (at_ms, zone, lasts_ms, never_ran) in history.attempts.clone() {
+            let earlier: Vec<EarlierAttempt> = begun
+                .iter()
+                .map(|(began_ms, zone, end_ms, never_ran)| EarlierAttempt {
+                    zone: ZoneId(*zone),
+                    cell: CellId(0),
+                    begun: instant(*began_ms),
+                    state: match (at_ms < *end_ms, never_ran) {
+                        (true, _) => AttemptState::Out,
+                        (false, true) => AttemptState::NeverRan,
+                        (false, false) => AttemptState::MayHaveRun,
+                    },
+                })
+                .collect();
+            let takes_new_work = at_ms < history.drained_ms;
+            let asked = attempt(&AttemptFacts {
+                now: instant(at_ms),
+                answer_is_owed: at_ms < history.answered_ms,
+                deadline: Some(instant(history.deadline_ms)),
+                begin_by: None,
+                server: ServerFacts { takes_new_work, zone: ZoneId(zone), cell: CellId(0) },
+                effect: history.effect(),
+                second_copies: history.second_copies,
+                earlier: &earlier,
+            });
+            // Two that began at different zones have no common first; the protocol never lets that come about.
+            prop_assert_eq!(asked.is_ok(), history.is_lawful(at_ms, zone, &begun), "{:?}", asked);
+            if let Ok(permit) = asked {
+                prop_assert!(permit.is_valid(instant(at_ms)));
+                prop_assert!(!permit.is_valid(instant(at_ms) + USE_WITHIN));
+                prop_assert!(!permit.is_valid(instant(history.deadline_ms)));
+                begun.push((at_ms, zone, at_ms + lasts_ms, never_ran));
+            }
+        }
+        Ok(())
+    });
+    played.unwrap_or_else(|fault| panic!("{fault}"));
+}
+
+#[test]
+fn a_probe_may_go_at_once_and_not_later() {
+    let now = Instant::now();
+    let permit = AttemptPermit::for_probe(now);
+    let first_byte = permit.first_byte();
+    assert!(permit.is_valid(now) && !permit.is_valid(now + USE_WITHIN) && first_byte.written_at().is_none());
+    permit.used(now);
+    assert_eq!(first_byte.written_at(), Some(now));
+}
--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -1,6 +1,7 @@
 //! The servers by their numbers: where each is, which of its lives this is, and since when nothing new may go there.
 
 use crate::list::{Lines, State, Target};
+use crate::permits::attempt::ServerFacts;
 use crate::upstream::pool::{Place, Pool};
 use ryelead::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
 use std::collections::{HashMap, HashSet};
@@ -86,6 +87,23 @@
         }
     }
 
+    /// What of a server counts for whether an attempt may begin at one of its lives; `None` if it is not known.
+    pub fn facts(&self, server: ServerId, life: u64) -> Option<ServerFacts> {
+        let known = self.servers.get(&server)?;
+        let takes_new_work = self.is_current(server, life);
+        Some(ServerFacts { takes_new_work, zone: known.listed.zone, cell: known.listed.cell })
+    }
+
+    /// Since when nothing new may go to a server, if that is so.
+    pub fn off_since(&self, server: ServerId) -> Option<Instant> {
+        self.servers.get(&server)?.off_since
+    }
+
+    /// How long sends to a server that drains may go on, by the settings.
+    pub fn drain_grace(&self) -> Duration {
+        self.drain_grace
+    }
+
     /// True if something new may go to this life of a server, and connections to it may be kept. The grace of the settings is
     /// left to what comes late: a list that was long on its way or waited for the processor may have counted as told for
     /// a part of it.
--- a/agent/src/upstream/attempt.rs
+++ b/agent/src/upstream/attempt.rs
@@ -3,6 +3,7 @@
 use super::passing::Passing;
 use super::upload::Upload;
 use crate::budget::Portion;
+use crate::permits::attempt::AttemptPermit;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
@@ -103,9 +104,9 @@
 
 /// What an attempt asks of those who sent it.
 pub trait Owner {
-    /// Whether the first byte may go now: while the connection was on its way a server may have been told to drain, and a
-    /// client may have gone.
-    fn may_send(&self) -> bool;
+    /// Allows the first byte to go now, or does not: while the connection was on its way a server may have been told to drain,
+    /// and a client may have gone.
+    fn permit(&self) -> Option<AttemptPermit>;
     /// A long request is about to be sent with this attempt, and can't be sent with another.
     fn bind(&self);
     /// A long answer has begun; false if its request has had its answer.
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -8,6 +8,7 @@
 use super::pool::{Lease, Place, Pool};
 use super::upload::Sending;
 use crate::budget::{Budget, Portion};
+use crate::permits::attempt::AttemptPermit;
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -87,17 +88,17 @@
                 Ok(lease) => lease,
                 Err(outcome) => return outcome.into(),
             };
-            if !owner.may_send() {
+            let Some(permit) = owner.permit() else {
                 self.pool.give_back(place, lease);
                 return Outcome::NotSent.into();
-            }
+            };
             if call.upload.is_some() {
                 owner.bind();
             }
             progress.set(Stage::Sent);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
-            let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
+            let answer = self.exchange(&mut lease, permit, message(call, place.address, until)).await;
             let (written, least) = (view.written() - before, call.least_bytes());
             let upload = call.upload.as_ref();
             if upload.is_some_and(|upload| upload.is_broken()) {
@@ -142,7 +143,10 @@
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
-                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 && untouched => {
+                // So does one whose permit was too old by its first byte.
+                Err(Spoilt::Connection)
+                    if (!lease.is_fresh() || view.has_expired()) && written == 0 && untouched =>
+                {
                     progress.set(Stage::Ahead);
                 }
                 Err(Spoilt::Connection) if written < least => return Outcome::ConnectFailed.into(),
@@ -152,7 +156,12 @@
     }
 
     /// One request out and its answer in.
-    async fn exchange(&self, lease: &mut Lease, mut request: Request<Sending>) -> Result<Reply, Spoilt> {
+    async fn exchange(
+        &self,
+        lease: &mut Lease,
+        permit: AttemptPermit,
+        mut request: Request<Sending>,
+    ) -> Result<Reply, Spoilt> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(Spoilt::Connection)?;
         // Answers 1xx come ahead of the one that counts, which may take its time after them.
@@ -161,7 +170,7 @@
         hyper::ext::on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
         let received = view.received();
         let is_long = matches!(request.body(), Sending::Coming(..));
-        view.arm(ANSWER_MOST);
+        view.arm(permit, ANSWER_MOST);
         let whole = async {
             let answer = sender.try_send_request(request).await.map_err(|_| Spoilt::Connection)?;
             self.read(answer).await
@@ -243,8 +252,8 @@
 struct Probing;
 
 impl Owner for Probing {
-    fn may_send(&self) -> bool {
-        true
+    fn permit(&self) -> Option<AttemptPermit> {
+        Some(AttemptPermit::for_probe(Instant::now()))
     }
 
     fn bind(&self) {}
--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -8,8 +8,8 @@
 struct Asked(bool);
 
 impl Owner for Asked {
-    fn may_send(&self) -> bool {
-        self.0
+    fn permit(&self) -> Option<AttemptPermit> {
+        self.0.then(|| AttemptPermit::for_probe(Instant::now()))
     }
 
     fn bind(&self) {}
@@ -49,8 +49,8 @@
 struct Reader;
 
 impl Owner for Reader {
-    fn may_send(&self) -> bool {
-        true
+    fn permit(&self) -> Option<AttemptPermit> {
+        Some(AttemptPermit::for_probe(Instant::now()))
     }
 
     fn bind(&self) {}
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -2,6 +2,7 @@
 //! has closed, and what the head of a request says of its length.
 
 use crate::head::Head;
+use crate::permits::attempt::AttemptPermit;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -57,6 +58,13 @@
     }
 }
 
+/// What holds for the first byte of a request.
+struct Armed {
+    /// What had been received before: nothing may come until that byte.
+    received: u64,
+    permit: AttemptPermit,
+}
+
 /// What a connection tells of itself.
 #[derive(Default)]
 struct Meter {
@@ -64,8 +72,10 @@
     received: Cell<u64>,
     /// Bytes that may still be read before the connection ends; `None` for any number.
     allowance: Cell<Option<u64>>,
-    /// What had been received when a request was about to be written; nothing may come before its first byte.
-    armed: Cell<Option<u64>>,
+    /// A request is about to be written.
+    armed: Cell<Option<Armed>>,
+    /// The permit of the last request was too old when its first byte was to be written, so that nothing was.
+    expired: Cell<bool>,
     /// Since when the peer has taken nothing of what waits to be written.
     stuck_since: Cell<Option<Instant>>,
     /// The head of the request that is being read, on a client's connection.
@@ -130,11 +140,18 @@
 
     /// A request is about to be written. Whatever comes before its first byte is no answer to it and ends the
     /// connection instead, with nothing written; after it, no more than `allowance` bytes are read.
-    pub fn arm(&self, allowance: u64) {
-        self.meter.armed.set(Some(self.received()));
+    /// `permit` is used up by that byte, or too old for it.
+    pub fn arm(&self, permit: AttemptPermit, allowance: u64) {
+        self.meter.expired.set(false);
+        self.meter.armed.set(Some(Armed { received: self.received(), permit }));
         self.meter.allowance.set(Some(allowance));
     }
 
+    /// True if the last request was not written since its permit was too old by then.
+    pub fn has_expired(&self) -> bool {
+        self.meter.expired.get()
+    }
+
     /// From now on no more than `allowance` bytes are read.
     pub fn allow(&self, allowance: u64) {
         self.meter.allowance.set(Some(allowance));
@@ -155,6 +172,15 @@
         }
     }
 
+    /// True if the peer has not closed, and the connection has not broken, as far as the kernel knows.
+    pub fn is_open(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return false };
+        match peek(&stream) {
+            Ok(bytes) => bytes > 0,
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Comes back when the peer has closed, or the connection has broken, also behind bytes that nobody has read.
     pub async fn closed(&self) {
         while let Some(stream) = self.stream.upgrade() {
@@ -236,13 +262,20 @@
         cx: &mut Context<'_>,
         mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        if let Some(received) = self.meter.armed.take() {
-            if received != self.meter.received.get() || !is_quiet(&self.stream) {
+        let armed = self.meter.armed.take();
+        if let Some(armed) = &armed {
+            if armed.received != self.meter.received.get() || !is_quiet(&self.stream) {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
+            if !armed.permit.is_valid(Instant::now()) {
+                self.meter.expired.set(true);
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
         }
         loop {
             if self.stream.poll_write_ready(cx)?.is_pending() {
+                // Nothing has gone: it is looked at once more before it does.
+                self.meter.armed.set(armed);
                 let since = self.meter.stuck_since.get().unwrap_or_else(Instant::now);
                 self.meter.stuck_since.set(Some(since));
                 return Poll::Pending;
@@ -251,6 +284,9 @@
                 Ok(n) => {
                     self.meter.written.set(self.meter.written.get() + n as u64);
                     self.meter.stuck_since.set(None);
+                    if let Some(armed) = armed {
+                        armed.permit.used(Instant::now());
+                    }
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
