Failing tests: EINTR cuts connections, and a start is believed by its server's wall clock

Measured from outside beside the incident; reproduced on real processes by a small preloaded library (lab/preload, the only place with unsafe, never in the product).

--- /dev/null
+++ b/agent/tests/loopback/machine.rs
@@ -0,0 +1,96 @@
+//! Faults of the machine under the agent: system calls that fail, and wall clocks that are wrong.
+
+use dilljunction_lab::standins::hand::*;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const HOUR_MS: i64 = 3_600_000;
+
+/// EINTR and reads and writes of three bytes are no faults of the connection: every request has its answer, and no connection ends
+/// that the agent did not announce.
+#[test]
+fn interrupted_and_short_reads_and_writes_lose_no_request() {
+    for faults in ["interrupt=7", "interrupt=2 seed=3", "short=2 seed=5", "interrupt=5 short=3 seed=7"] {
+        let backend = Backend::new(|_| ok("a body of some thirty characters"));
+        let line = serving("s", backend.address);
+        let discovery = Discovery::new(line.clone());
+        let agent = Agent::start_faulty(&config(discovery.address, &line, SETTINGS, 1024), faults);
+        for class in ["read", "once", "zoned", "all"] {
+            let mut client = Client::to(&agent);
+            for n in 0..60 {
+                client.write(&request(class, 9_000));
+                let answer = client.read();
+                let status = answer.as_ref().map(|answer| answer.status());
+                assert_eq!(status, Some(200), "{faults}: {class}, request {n}");
+                assert_eq!(answer.unwrap().body, b"a body of some thirty characters");
+            }
+        }
+        // Each ran once: a repeat would have been a connection that was given up.
+        assert_eq!(backend.heard.all().len(), 4 * 60, "{faults}");
+    }
+}
+
+/// Servers start at 5% of what they can do and are warm after this; the rule allows little more.
+fn cold_settings(warm_after_ms: u64) -> String {
+    let rules = format!(
+        r#""rules":{{"stopSendingWithinMs":2000,"coldShare":0.05,"warmAfterMs":{warm_after_ms},"overloadFactor":2,"fallMs":1500}}"#
+    );
+    SETTINGS.replace(r#""rules":{"stopSendingWithinMs":2000}"#, &rules)
+}
+
+fn unix_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64
+}
+
+/// Two servers, of which the second has just started again and says so by a clock that is so far off; the agent's own is off by
+/// `agent_ms`. Which share of 200 requests the second gets, `after` it was told.
+fn share_of_a_restarted_server(
+    warm_after_ms: u64,
+    server_ms: i64,
+    agent_ms: i64,
+    is_new: bool,
+    after: Duration,
+) -> f64 {
+    let (warm, restarted) = (Backend::new(|_| ok("x")), Backend::new(|_| ok("x")));
+    let entry = |uid: &str, address: SocketAddr, boot_ms: i64| {
+        target(uid, address, "SERVING", boot_ms.try_into().expect("after 1970"))
+    };
+    let first = entry("s0", warm.address, 0);
+    let before =
+        if is_new { first.clone() } else { [first.clone(), entry("s1", restarted.address, 0)].join(",") };
+    let discovery = Discovery::new(before.clone());
+    let config = config(discovery.address, &before, &cold_settings(warm_after_ms), 1024);
+    let agent = Agent::start_faulty(&config, &format!("wall_ms={agent_ms}"));
+    // The list has been heard, and the next call for it waits for a change.
+    discovery.asked.wait(2);
+    let calls = discovery.asked.all().len();
+    discovery.change([first, entry("s1", restarted.address, unix_ms() + server_ms)].join(","));
+    discovery.asked.wait(calls + 1);
+    std::thread::sleep(after);
+    let mut client = Client::to(&agent);
+    for _ in 0..200 {
+        assert_eq!(client.ask(&request("read", 9_000)).status(), 200);
+    }
+    restarted.heard.all().len() as f64 / 200.0
+}
+
+/// A start that the agent has seen happen needs no wall clock: the server is cold whatever its clock or the agent's says.
+#[test]
+fn a_server_that_has_just_started_is_cold_whatever_the_clocks_say() {
+    for is_new in [false, true] {
+        for (server_ms, agent_ms) in [(0, 0), (-HOUR_MS, 0), (HOUR_MS, 0), (0, HOUR_MS), (0, -HOUR_MS)] {
+            let share = share_of_a_restarted_server(600_000, server_ms, agent_ms, is_new, Duration::ZERO);
+            assert!(share < 0.2, "{share} with clocks off by {server_ms} and {agent_ms} ms, new: {is_new}");
+        }
+    }
+}
+
+/// And it is warm when its time is over, whatever they say.
+#[test]
+fn a_server_is_warm_after_its_time_whatever_the_clocks_say() {
+    for (server_ms, agent_ms) in [(0, 0), (HOUR_MS, 0), (0, -HOUR_MS)] {
+        let after = Duration::from_millis(700);
+        let share = share_of_a_restarted_server(300, server_ms, agent_ms, false, after);
+        assert!(share > 0.2, "{share} with clocks off by {server_ms} and {agent_ms} ms");
+    }
+}
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod lists;
 mod long;
+mod machine;
 mod operators;
 mod outcomes;
 mod reload;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod judge;
 pub mod measure;
+pub mod preload;
 pub mod publishing;
 pub mod scale;
 pub mod show;
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -404,6 +404,15 @@
         Agent::watch(command(&config).args(arguments).spawn().expect("a program"), config)
     }
 
+    /// In a process whose system calls fail and whose wall clock steps as these words say (`lab/preload`).
+    pub fn start_faulty(config: &str, faults: &str) -> Agent {
+        let config = config_file(config);
+        let library = crate::preload::library().expect("the preloaded library");
+        let mut command = command(&config);
+        command.env(crate::preload::PRELOAD, library).env(crate::preload::FAULTS, faults);
+        Agent::watch(command.spawn().expect("a program"), config)
+    }
+
     /// An agent with one backend and a configuration that allows so many descriptors.
     pub fn with_sockets(backend: &Backend, sockets: usize) -> (Agent, Discovery) {
         let line = serving("s", backend.address);
