EINTR is repeated, and a start that was seen happen needs no wall clock

agent/src/wire.rs took any error but WouldBlock of a read, a write or a look for the end of the connection; the operators' listener used the runtime's own stream, which does the same. Interrupted is repeated now, in both.

agent/src/servers.rs believed boot_ms as it came. Now a start lies neither ahead of this agent's clock nor more than the protocol's 6 s before a list that did not have it; a claim that can't be right counts from when it was heard.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -95,7 +95,9 @@
         driver.0.core.borrow_mut().balancer.start(driver.0.clock.now(), &mut actions);
         driver.perform(actions);
         if let Some(known) = known {
-            let lines = driver.0.core.borrow_mut().servers.take_list(true, &known.targets, driver.pool());
+            let now = driver.0.clock.now();
+            let lines =
+                driver.0.core.borrow_mut().servers.take_list(now, true, &known.targets, driver.pool());
             driver.tell(Event::List(ListUpdate::Saved(lines)));
         }
         Ok(driver)
@@ -445,7 +447,13 @@
     pub fn listed(&self, reply: ListReply) {
         self.tally().add(Count::ListLine, reply.targets.read.len());
         self.tally().add(Count::ListUnread, reply.targets.odd());
-        let lines = self.0.core.borrow_mut().servers.take_list(reply.all, &reply.targets, self.pool());
+        let now = self.0.clock.now();
+        let lines = {
+            let servers = &mut self.0.core.borrow_mut().servers;
+            let lines = servers.take_list(now, reply.all, &reply.targets, self.pool());
+            servers.heard(now);
+            lines
+        };
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
     }
--- a/agent/src/fronts/admin.rs
+++ b/agent/src/fronts/admin.rs
@@ -7,13 +7,13 @@
 use crate::log::log;
 use crate::operators;
 use crate::peers::Peers;
+use crate::wire::{Gauge, Wire};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -101,7 +101,8 @@
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.keep_alive(false).header_read_timeout(None).max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    let (wire, _) = Wire::new(stream, Gauge::default().enter());
+    let _ = builder.serve_connection(wire, service).await;
 }
 
 /// The body of a call; `None` if it is larger than `kept_most`, or did not come whole in time. It is read up to
--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -3,11 +3,14 @@
 use crate::list::{Lines, State, Target};
 use crate::permits::attempt::ServerFacts;
 use crate::upstream::pool::{Place, Pool};
-use ryelead::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use ryelead::{CellId, KindId, Listed, ServerId, Span, Status, Time, ZoneId};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What discovery has to tell, it tells so soon (protocol page, "Figures": "counts as told 6 s later at the latest"): a start that
+/// is claimed to lie further back than this before a list without it can't be right.
+const TOLD_WITHIN: Span = Span(6_000_000);
 /// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
 const FORGET_AFTER: Duration = Duration::from_secs(1);
 /// Names of zones or kinds that the settings don't hold are few; past this they share one number.
@@ -22,6 +25,9 @@
     gone: bool,
     /// When it was first told to drain or to be gone.
     off_since: Option<Instant>,
+    /// When it last started, as its line has it: another one is another process.
+    claimed_start: Option<Time>,
+    /// And as it is believed.
     started: Option<Time>,
     /// Attempts and probes that are out to it.
     out: usize,
@@ -53,13 +59,16 @@
     zones: Numbers,
     kinds: Numbers,
     drain_grace: Duration,
+    /// When discovery was last heard.
+    heard_at: Option<Time>,
 }
 
 impl Servers {
     /// Nobody yet; the names of zones and kinds are the settings'.
     pub fn new(zones: &[String], kinds: &[String], drain_grace: Duration) -> Self {
         let (zones, kinds) = (Numbers::new(zones), Numbers::new(kinds));
-        Servers { servers: HashMap::new(), ids: HashMap::new(), next_server: 0, zones, kinds, drain_grace }
+        let (servers, ids) = Default::default();
+        Servers { servers, ids, next_server: 0, zones, kinds, drain_grace, heard_at: None }
     }
 
     /// True if there is a server to send to.
@@ -111,12 +120,17 @@
         self.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
     }
 
+    /// Discovery has been heard: what it told is taken over by now.
+    pub fn heard(&mut self, now: Time) {
+        self.heard_at = Some(now);
+    }
+
     /// Takes over addresses and states; returns the lines in the module's terms.
-    pub fn take_list(&mut self, all: bool, lines: &Lines, pool: &Pool) -> Vec<Listed> {
+    pub fn take_list(&mut self, now: Time, all: bool, lines: &Lines, pool: &Pool) -> Vec<Listed> {
         let unread =
             lines.unread.iter().filter_map(|uid| Some(self.servers.get(self.ids.get(uid)?)?.listed.clone()));
         let unread: Vec<Listed> = unread.collect();
-        let read = lines.read.iter().map(|target| self.take_target(target, pool));
+        let read = lines.read.iter().map(|target| self.take_target(now, target, pool));
         let lines: Vec<Listed> = unread.into_iter().chain(read).collect();
         if all {
             let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
@@ -142,20 +156,43 @@
         }
     }
 
-    fn take_target(&mut self, target: &Target, pool: &Pool) -> Listed {
-        let started = (target.boot_ms > 0.0).then(|| Time::from_ms(target.boot_ms));
+    /// When a server started that says so, and that the last list did not have as this process. It does not lie ahead; and one that
+    /// this agent has as good as seen happen is not long past, whatever the wall clocks say.
+    fn believed_start(&self, now: Time, claimed: Time) -> Time {
+        let earliest = self.heard_at.map_or(Time(0), |heard_at| heard_at - TOLD_WITHIN);
+        if claimed > now || claimed < earliest {
+            now
+        } else {
+            claimed
+        }
+    }
+
+    fn take_target(&mut self, now: Time, target: &Target, pool: &Pool) -> Listed {
+        let claimed_start = (target.boot_ms > 0.0).then(|| Time::from_ms(target.boot_ms));
+        let believed = claimed_start.map(|claimed| self.believed_start(now, claimed));
         let next = ServerId(self.next_server);
         let id = *self.ids.entry(target.uid.clone()).or_insert(next);
         self.next_server += u32::from(id == next);
         let server = self.servers.entry(id).or_insert_with(|| {
             let place = Place { server: id, address: target.endpoint, life: 0 };
             let listed = Listed::serving(id);
-            Server { place, listed, serving: false, gone: false, off_since: None, started, out: 0 }
+            Server {
+                place,
+                listed,
+                serving: false,
+                gone: false,
+                off_since: None,
+                claimed_start,
+                started: believed,
+                out: 0,
+            }
         });
-        if server.place.address != target.endpoint || server.started != started {
+        if server.place.address != target.endpoint || server.claimed_start != claimed_start {
             // Another process: connections to the one before lead nowhere.
             server.place = Place { address: target.endpoint, life: server.place.life + 1, ..server.place };
-            server.started = started;
+            if server.claimed_start != claimed_start {
+                (server.claimed_start, server.started) = (claimed_start, believed);
+            }
             pool.close_idle(id);
         }
         server.gone = target.state == State::Deleted;
@@ -174,7 +211,7 @@
                 State::Deleted => Status::Gone,
             },
             weight: target.capacity_hint.filter(|w| w.is_finite()).unwrap_or(1.0),
-            started,
+            started: server.started,
         };
         server.listed.clone()
     }
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -197,9 +197,20 @@
     }
 }
 
+/// True for what says nothing of a connection: it has nothing now, or a signal came. The call is made again, when the runtime
+/// says that the socket is ready and at once, in that order.
+fn is_to_be_repeated(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// What the peer has sent that nobody has read yet; `Ok(0)` says that it has closed.
 fn peek(stream: &TcpStream) -> io::Result<usize> {
-    socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
+    loop {
+        match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            seen => return seen,
+        }
+    }
 }
 
 fn is_quiet(stream: &TcpStream) -> bool {
@@ -249,7 +260,7 @@
                 self.meter.take_in(&between[..n])
             });
             match read {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_to_be_repeated(&e) => {}
                 read => return Poll::Ready(read),
             }
         }
@@ -289,7 +300,7 @@
                     }
                     return Poll::Ready(Ok(n));
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_to_be_repeated(&e) => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
