--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -20,19 +20,21 @@
 use ryelead::{RequestId, Span};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// A client that hears nothing from the module gets its answer this long before it stops waiting.
 const ANSWER_RESERVE: Duration = Duration::from_millis(6);
 /// How long a connection that has been asked to close may take to pass on an answer.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
-/// Pause after an accept that failed for want of descriptors.
+/// Pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often connections whose time is over are looked for.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
@@ -113,9 +115,12 @@
                         server.converse(&taken.seat, wire).await;
                     });
                 }
+                Err(e) if is_of_one_connection(&e) => yield_now().await,
                 Err(e) => {
                     log(&format!("cannot accept: {e}"));
-                    self.seats.make_room();
+                    if is_shortage(&e) {
+                        self.seats.make_room();
+                    }
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -292,6 +297,17 @@
     }
 }
 
+/// True if an accept failed for the connection that it would have brought, or for a signal: the next may be there already.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
+}
+
+/// True if an accept failed since the machine or the process is short of something, which a closed connection gives back. Linux:
+/// ENOMEM, ENFILE, EMFILE, ENOBUFS.
+fn is_shortage(error: &io::Error) -> bool {
+    error.raw_os_error().is_some_and(|number| matches!(number, 12 | 23 | 24 | 105))
+}
+
 /// An answer in the protocol's words; `None` if none has come in time.
 fn worded(answer: Option<Result<Answer, RecvError>>) -> Response<Reply> {
     match answer {
--- a/agent/tests/loopback/machine.rs
+++ b/agent/tests/loopback/machine.rs
@@ -50,6 +50,29 @@
     }
 }
 
+/// An accept that fails says nothing of the connections that are open, unless the machine is short of what they hold.
+#[test]
+fn a_failed_accept_closes_no_resting_connection() {
+    for errno in [4, 71, 100, 103] {
+        let backend = Backend::new(|_| ok("x"));
+        let line = serving("s", backend.address);
+        let discovery = Discovery::new(line.clone());
+        let text = config(discovery.address, &line, SETTINGS, 1024);
+        let agent = Agent::start_faulty(&text, &format!("accept={errno}/2"));
+        let mut resting: Vec<Client> = (0..4).map(|_| Client::to(&agent)).collect();
+        for client in &mut resting {
+            assert_eq!(client.ask(&request("read", 9_000)).status(), 200);
+        }
+        for _ in 0..20 {
+            assert_eq!(Client::to(&agent).ask(&request("read", 9_000)).status(), 200, "errno {errno}");
+        }
+        for client in &mut resting {
+            client.write(&request("read", 9_000));
+            assert_eq!(client.read().map(|answer| answer.status()), Some(200), "errno {errno}");
+        }
+    }
+}
+
 /// A machine that is short of buffers for a moment ends no start, and no request.
 #[test]
 fn a_start_outlasts_a_machine_that_is_short_of_buffers() {
