--- a/lab/src/soak/draw.rs
+++ b/lab/src/soak/draw.rs
@@ -81,8 +81,8 @@
     let mut names: Vec<String> = world.servers().into_iter().map(|(name, _)| name).collect();
     random.shuffle(&mut names);
     names.truncate(random.usize(names.len() / 4..=names.len() / 2).max(1));
-    let at = (stop_at - between(random, 0.0, 0.8)).max(0.0);
-    Fault { servers: names, ..plain(Kind::Hang, at, Some(between(random, 4.5, 6.0))) }
+    let at = (stop_at - between(random, 0.2, 1.5)).max(0.0);
+    Fault { servers: names, ..plain(Kind::Hang, at, Some(between(random, 5.3, 7.0))) }
 }
 
 /// Three buildings in which nothing happens.
@@ -122,10 +122,10 @@
         }
     };
     vec![
-        class("safe", EffectName::Safe, None, 0.4),
+        class("safe", EffectName::Safe, None, 0.3),
         class("keyed-all", EffectName::Keyed, Some(Group::All), 0.25),
         class("keyed-zone", EffectName::Keyed, Some(Group::Zone), 0.2),
-        class("unsafe", EffectName::Unsafe, None, 0.15),
+        class("unsafe", EffectName::Unsafe, None, 0.25),
     ]
 }
 
