--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -1,26 +1,24 @@
 //! Owns the balancer: turns what happens on sockets into events, and actions into work on sockets.
 
+mod attempts;
+
 use crate::clock::Clock;
 use crate::events;
 use crate::list::{Commands, ListReply};
 use crate::log::log;
 use crate::permits::admission::Admission;
-use crate::permits::attempt::{
-    attempt, AttemptDenied, AttemptFacts, AttemptPermit, AttemptState, EarlierAttempt, FirstByte, ServerFacts,
-};
-use crate::permits::violations::{BegunAttempt, Violations};
-use crate::requests::{Answer, Arrival, Departure, Requests};
+use crate::permits::violations::Violations;
+use crate::requests::{Answer, Arrival, Requests};
 use crate::servers::Servers;
 use crate::tally::{Count, Tally};
 use crate::timers::Timers;
-use crate::upstream::attempt::{Call, Ended, Owner, Progress, Served, Stage};
+use crate::upstream::attempt::{Call, Ended};
 use crate::upstream::backend::Backends;
-use crate::upstream::pool::{Place, Pool};
+use crate::upstream::pool::Pool;
 use hyper::header::HeaderValue;
 use ryelead::*;
 use std::cell::RefCell;
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -308,139 +306,6 @@
         self.0.core.borrow_mut().requests.answer(id, answer);
     }
 
-    fn send(&self, id: RequestId, server: ServerId, begin_by: Time, timeout_at: Time) {
-        let now = Instant::now();
-        let core = &mut *self.0.core.borrow_mut();
-        let Some(departure) = core.requests.depart(id, self.0.max_attempts) else { return };
-        let Departure { attempt, call, deadline, lawful, cancelled } = departure;
-        // Nothing is sent beyond the time that the request has, either.
-        let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
-        // A long request is sent once only, and its time begins with its last byte.
-        let begin_by = call.upload.is_none().then(|| self.0.clock.instant(begin_by));
-        events::attempt_ordered(id, attempt, server, until);
-        let in_time = call.upload.is_some() || until > now;
-        let place = if lawful && in_time { core.servers.enter(server) } else { None };
-        let driver = self.clone();
-        tokio::task::spawn_local(async move {
-            let ended = match place {
-                Some(place) => {
-                    let begun = RefCell::default();
-                    let owner = Sending { driver: &driver, id, attempt, place, begin_by, begun };
-                    let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
-                    driver.check_begun(&owner);
-                    driver.leave(server);
-                    ended
-                }
-                None => Outcome::NotSent.into(),
-            };
-            driver.attempt_over(id, attempt, now, ended);
-        });
-    }
-
-    async fn attempt(
-        &self,
-        place: Place,
-        call: &Call,
-        until: Instant,
-        owner: &Sending<'_>,
-        cancelled: oneshot::Receiver<()>,
-    ) -> Ended {
-        let progress = Progress::default();
-        let mut exchange = pin!(self.0.backends.attempt(place, call, until, &progress, owner));
-        let given_up = tokio::select! {
-            ended = exchange.as_mut() => return ended,
-            () = time_up(call, until) => Outcome::TimedOut,
-            () = self.process_ends(ATTEMPT_RESERVE) => Outcome::TimedOut,
-            Ok(()) = cancelled => Outcome::Cancelled,
-        };
-        match (progress.stage(), given_up) {
-            (Stage::Passing, _) => exchange.await,
-            // The time was used up by waiting for a connection.
-            (Stage::Ahead, Outcome::TimedOut) => Outcome::NotSent.into(),
-            (Stage::Ahead | Stage::Sent, outcome) => outcome.into(),
-        }
-    }
-
-    /// A send counts from its first byte, which a wait for a connection may put off: its server may have been told to drain
-    /// since, its client may have gone or have its answer, and the time of its key may be over.
-    fn permit(&self, sending: &Sending<'_>) -> Result<AttemptPermit, AttemptDenied> {
-        let now = Instant::now();
-        let Place { server, life, .. } = sending.place;
-        let core = &mut *self.0.core.borrow_mut();
-        let request = core.requests.facts(sending.id, sending.attempt).ok_or(AttemptDenied::NotOwed)?;
-        let server = core.servers.facts(server, life).ok_or(AttemptDenied::ServerLeft)?;
-        let permit = attempt(&AttemptFacts {
-            now,
-            answer_is_owed: request.answer_is_owed,
-            deadline: request.deadline,
-            begin_by: sending.begin_by,
-            server,
-            effect: self.effect(request.class),
-            second_copies: self.0.second_copies,
-            earlier: &request.earlier,
-        })?;
-        let ServerFacts { zone, cell, .. } = server;
-        let itself = EarlierAttempt { zone, cell, begun: now, state: AttemptState::Out };
-        core.requests.begin_attempt(sending.id, sending.attempt, itself);
-        let first_byte = permit.first_byte();
-        *sending.begun.borrow_mut() = Some(Begun { first_byte, itself, before: request.earlier });
-        Ok(permit)
-    }
-
-    fn effect(&self, class: ClassId) -> Effect {
-        self.0.effects.get(class.0).copied().unwrap_or(Effect::AtMostOnce)
-    }
-
-    /// Compares an attempt that has begun with the rules once more. Its request is known as long as it is out.
-    fn check_begun(&self, sending: &Sending<'_>) {
-        let Some(Begun { first_byte, itself, before }) = sending.begun.take() else { return };
-        let Some(first_byte) = first_byte.written_at() else { return };
-        let core = self.0.core.borrow();
-        let Some(request) = core.requests.facts(sending.id, sending.attempt) else { return };
-        let Sending { id, attempt, place, .. } = sending;
-        let begun = BegunAttempt {
-            first_byte,
-            answered_at: request.answered_at,
-            deadline: request.deadline,
-            server_off_since: core.servers.off_since(place.server),
-            drain_grace: core.servers.drain_grace(),
-            effect: self.effect(request.class),
-            itself,
-            before,
-        };
-        let since = first_byte.elapsed().as_millis();
-        let detail =
-            format!("request {}, attempt {attempt}, server {}, {since} ms ago", id.0, place.server.0);
-        self.0.violations.check_attempt(&begun, &detail);
-    }
-
-    /// An attempt or a probe is no longer out.
-    fn leave(&self, server: ServerId) {
-        self.0.core.borrow_mut().servers.leave(server);
-    }
-
-    fn probe(&self, server: ServerId) {
-        self.tally().count(Count::Probe);
-        let place = self.0.core.borrow_mut().servers.enter(server);
-        let (driver, sent) = (self.clone(), Instant::now());
-        tokio::task::spawn_local(async move {
-            let ended = match place {
-                Some(place) => {
-                    let ended = driver.0.backends.probe(place).await;
-                    driver.leave(server);
-                    ended
-                }
-                // The module waits for an answer to each probe.
-                None => Outcome::NotSent.into(),
-            };
-            let elapsed = Span(sent.elapsed().as_micros() as u64);
-            if ended.outcome != Outcome::Success {
-                driver.tally().count(Count::ProbeFailed);
-            }
-            driver.tell(Event::Probed { server, outcome: ended.outcome, elapsed, report: ended.report });
-        });
-    }
-
     // ---- the list -----------------------------------------------------------------------------------
 
     /// A source has told something.
@@ -471,174 +336,5 @@
     }
 }
 
-/// Comes back when the time of an attempt is over: that of a long request begins when all of it has come.
-async fn time_up(call: &Call, until: Instant) {
-    match &call.upload {
-        Some(upload) => sleep_until(upload.whole().await - ATTEMPT_RESERVE).await,
-        None => sleep_until(until).await,
-    }
-}
-
-/// An attempt that was allowed to begin, and how its request stood then.
-struct Begun {
-    first_byte: FirstByte,
-    itself: EarlierAttempt,
-    before: Vec<EarlierAttempt>,
-}
-
-/// An attempt that is out, as the backends' side asks about it.
-struct Sending<'a> {
-    driver: &'a Driver,
-    id: RequestId,
-    attempt: u32,
-    place: Place,
-    begin_by: Option<Instant>,
-    /// The last permit that it got.
-    begun: RefCell<Option<Begun>>,
-}
-
-impl Owner for Sending<'_> {
-    fn permit(&self) -> Option<AttemptPermit> {
-        match self.driver.permit(self) {
-            Ok(permit) => {
-                events::attempt_begun(self.id, self.attempt);
-                Some(permit)
-            }
-            Err(denied) => {
-                events::attempt_denied(self.id, self.attempt, denied.name());
-                None
-            }
-        }
-    }
-
-    fn bind(&self) {
-        let attempt = AttemptNo(self.attempt);
-        self.driver.tell(Event::Bound { request: self.id, attempt });
-    }
-
-    fn begin(&self, served: Served) -> bool {
-        let first = self.driver.0.core.borrow_mut().requests.begin(self.id, served);
-        if first {
-            let attempt = AttemptNo(self.attempt);
-            self.driver.tell(Event::FirstByte { request: self.id, attempt });
-        }
-        first
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::budget::Budget;
-    use crate::permits::admission::admit;
-    use hyper::{HeaderMap, Method, Uri};
-    use std::collections::HashSet;
-    use std::net::SocketAddr;
-    use tokio::net::TcpListener;
-    use tokio::task::{yield_now, LocalSet};
-
-    async fn driver() -> (Driver, TcpListener) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let list = format!(
-            r#"{{"rev":1,"all":true,"targets":[{{"uid":"s","endpoint":"{}","state":"SERVING"}}]}}"#,
-            listener.local_addr().unwrap()
-        );
-        let second = Duration::from_secs(1);
-        let pool = Pool::new(4, second, second);
-        let backends = Backends::new(pool, Budget::new(1 << 20), Vec::new(), false);
-        let known = serde_json::from_str(&list).unwrap();
-        let driver = Driver::new(
-            Settings::default(),
-            7,
-            (&[], &[]),
-            Some(known),
-            backends,
-            Commands::new(SocketAddr::from(([127, 0, 0, 1], 1))),
-        );
-        (driver.unwrap(), listener)
-    }
-
-    fn submit(driver: &Driver) -> (RequestId, oneshot::Receiver<Answer>) {
-        let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        let call = Call {
-            method: Method::GET,
-            uri,
-            headers,
-            body: bytes::Bytes::new(),
-            upload: None,
-            _portion: None,
-        };
-        let deadline = Instant::now() + Duration::from_secs(60);
-        let (class, tenant, key, cost_hint, repeat, coming) = (ClassId(0), None, None, None, false, false);
-        let arrival = Arrival { class, tenant, key, cost_hint, repeat, client_deadline: deadline, coming };
-        let admission = admit(Instant::now(), deadline, None).expect("no end of the process");
-        driver
-            .submit(call, HeaderValue::from_static("id"), arrival, admission)
-            .expect("the only one of its name")
-    }
-
-    /// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
-    /// called off must not be forgotten before that attempt's outcome is told.
-    #[tokio::test]
-    async fn an_attempt_called_off_is_reported_though_its_request_has_ended() {
-        let local = LocalSet::new();
-        let test = async {
-            let (driver, _listener) = driver().await;
-            let (id, answer) = submit(&driver);
-            let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
-            driver.perform(vec![cancel, Action::Fail { request: id, reason: Reason::FailedLate }]);
-            assert!(matches!(answer.await, Ok(Answer::Failed)));
-            assert!(driver.0.core.borrow().requests.is_open(id), "its outcome has not been told");
-            while driver.0.core.borrow().requests.is_open(id) {
-                yield_now().await;
-            }
-        };
-        local.run_until(test).await;
-    }
-
-    /// Nothing is answered twice, and nothing is kept of a request that is over.
-    #[tokio::test]
-    async fn the_first_answer_is_the_only_one() {
-        let local = LocalSet::new();
-        let test = async {
-            let (driver, _listener) = driver().await;
-            let (id, answer) = submit(&driver);
-            driver.perform(vec![
-                Action::Fail { request: id, reason: Reason::FailedLate },
-                Action::Refuse { request: id, retry_after: None, reason: Reason::WaitedOut },
-            ]);
-            assert!(matches!(answer.await, Ok(Answer::Failed)));
-            driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
-            while driver.0.core.borrow().requests.is_open(id) {
-                yield_now().await;
-            }
-        };
-        local.run_until(test).await;
-    }
-
-    /// Backends that are replaced under ever new names must not be kept, and the one that takes the address of one
-    /// that has gone is another: nothing of the old one is its own.
-    #[tokio::test(start_paused = true)]
-    async fn servers_that_have_left_are_forgotten() {
-        let local = LocalSet::new();
-        let test = async {
-            let (driver, listener) = driver().await;
-            let address = listener.local_addr().unwrap();
-            let mut numbers = HashSet::new();
-            for n in 0..50 {
-                let list = format!(
-                    r#"{{"rev":{n},"all":true,"targets":[{{"uid":"s{n}","endpoint":"{address}","state":"SERVING"}}]}}"#
-                );
-                driver.listed(serde_json::from_str(&list).unwrap());
-                tokio::time::advance(Duration::from_secs(1)).await;
-                let servers = &mut driver.0.core.borrow_mut().servers;
-                servers.forget_left();
-                let (ids, records) = servers.known();
-                assert!(records <= 4, "{records} are kept");
-                assert_eq!(ids.len(), records);
-                assert!(numbers.insert(ids[&format!("s{n}")]), "a number is given twice");
-            }
-        };
-        local.run_until(test).await;
-    }
-}
+mod tests;
--- /dev/null
+++ b/agent/src/driver/attempts.rs
@@ -0,0 +1,208 @@
+//! Attempts and probes that the balancer has ordered: each is a task that asks for its permit, is waited for no longer than its
+//! request or the process has time, and tells how it ended.
+
+use super::{Driver, ATTEMPT_RESERVE};
+use crate::events;
+use crate::permits::attempt::{
+    attempt, AttemptDenied, AttemptFacts, AttemptPermit, AttemptState, EarlierAttempt, FirstByte, ServerFacts,
+};
+use crate::permits::violations::BegunAttempt;
+use crate::requests::Departure;
+use crate::tally::Count;
+use crate::upstream::attempt::{Call, Ended, Owner, Progress, Served, Stage};
+use crate::upstream::pool::Place;
+use ryelead::*;
+use std::cell::RefCell;
+use std::pin::pin;
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, Instant};
+
+impl Driver {
+    pub(super) fn send(&self, id: RequestId, server: ServerId, begin_by: Time, timeout_at: Time) {
+        let now = Instant::now();
+        let core = &mut *self.0.core.borrow_mut();
+        let Some(departure) = core.requests.depart(id, self.0.max_attempts) else { return };
+        let Departure { attempt, call, deadline, lawful, cancelled } = departure;
+        // Nothing is sent beyond the time that the request has, either.
+        let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
+        // A long request is sent once only, and its time begins with its last byte.
+        let begin_by = call.upload.is_none().then(|| self.0.clock.instant(begin_by));
+        events::attempt_ordered(id, attempt, server, until);
+        let in_time = call.upload.is_some() || until > now;
+        let place = if lawful && in_time { core.servers.enter(server) } else { None };
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let ended = match place {
+                Some(place) => {
+                    let begun = RefCell::default();
+                    let owner = Sending { driver: &driver, id, attempt, place, begin_by, begun };
+                    let ended = driver.attempt(place, &call, until, &owner, cancelled).await;
+                    driver.check_begun(&owner);
+                    driver.leave(server);
+                    ended
+                }
+                None => Outcome::NotSent.into(),
+            };
+            driver.attempt_over(id, attempt, now, ended);
+        });
+    }
+
+    async fn attempt(
+        &self,
+        place: Place,
+        call: &Call,
+        until: Instant,
+        owner: &Sending<'_>,
+        cancelled: oneshot::Receiver<()>,
+    ) -> Ended {
+        let progress = Progress::default();
+        let mut exchange = pin!(self.0.backends.attempt(place, call, until, &progress, owner));
+        let given_up = tokio::select! {
+            ended = exchange.as_mut() => return ended,
+            () = time_up(call, until) => Outcome::TimedOut,
+            () = self.process_ends(ATTEMPT_RESERVE) => Outcome::TimedOut,
+            Ok(()) = cancelled => Outcome::Cancelled,
+        };
+        match (progress.stage(), given_up) {
+            (Stage::Passing, _) => exchange.await,
+            // The time was used up by waiting for a connection.
+            (Stage::Ahead, Outcome::TimedOut) => Outcome::NotSent.into(),
+            (Stage::Ahead | Stage::Sent, outcome) => outcome.into(),
+        }
+    }
+
+    /// A send counts from its first byte, which a wait for a connection may put off: its server may have been told to drain
+    /// since, its client may have gone or have its answer, and the time of its key may be over.
+    fn permit(&self, sending: &Sending<'_>) -> Result<AttemptPermit, AttemptDenied> {
+        let now = Instant::now();
+        let Place { server, life, .. } = sending.place;
+        let core = &mut *self.0.core.borrow_mut();
+        let request = core.requests.facts(sending.id, sending.attempt).ok_or(AttemptDenied::NotOwed)?;
+        let server = core.servers.facts(server, life).ok_or(AttemptDenied::ServerLeft)?;
+        let permit = attempt(&AttemptFacts {
+            now,
+            answer_is_owed: request.answer_is_owed,
+            deadline: request.deadline,
+            begin_by: sending.begin_by,
+            server,
+            effect: self.effect(request.class),
+            second_copies: self.0.second_copies,
+            earlier: &request.earlier,
+        })?;
+        let ServerFacts { zone, cell, .. } = server;
+        let itself = EarlierAttempt { zone, cell, begun: now, state: AttemptState::Out };
+        core.requests.begin_attempt(sending.id, sending.attempt, itself);
+        let first_byte = permit.first_byte();
+        *sending.begun.borrow_mut() = Some(Begun { first_byte, itself, before: request.earlier });
+        Ok(permit)
+    }
+
+    fn effect(&self, class: ClassId) -> Effect {
+        self.0.effects.get(class.0).copied().unwrap_or(Effect::AtMostOnce)
+    }
+
+    /// Compares an attempt that has begun with the rules once more. Its request is known as long as it is out.
+    fn check_begun(&self, sending: &Sending<'_>) {
+        let Some(Begun { first_byte, itself, before }) = sending.begun.take() else { return };
+        let Some(first_byte) = first_byte.written_at() else { return };
+        let core = self.0.core.borrow();
+        let Some(request) = core.requests.facts(sending.id, sending.attempt) else { return };
+        let Sending { id, attempt, place, .. } = sending;
+        let begun = BegunAttempt {
+            first_byte,
+            answered_at: request.answered_at,
+            deadline: request.deadline,
+            server_off_since: core.servers.off_since(place.server),
+            drain_grace: core.servers.drain_grace(),
+            effect: self.effect(request.class),
+            itself,
+            before,
+        };
+        let since = first_byte.elapsed().as_millis();
+        let detail =
+            format!("request {}, attempt {attempt}, server {}, {since} ms ago", id.0, place.server.0);
+        self.0.violations.check_attempt(&begun, &detail);
+    }
+
+    /// An attempt or a probe is no longer out.
+    fn leave(&self, server: ServerId) {
+        self.0.core.borrow_mut().servers.leave(server);
+    }
+
+    pub(super) fn probe(&self, server: ServerId) {
+        self.tally().count(Count::Probe);
+        let place = self.0.core.borrow_mut().servers.enter(server);
+        let (driver, sent) = (self.clone(), Instant::now());
+        tokio::task::spawn_local(async move {
+            let ended = match place {
+                Some(place) => {
+                    let ended = driver.0.backends.probe(place).await;
+                    driver.leave(server);
+                    ended
+                }
+                // The module waits for an answer to each probe.
+                None => Outcome::NotSent.into(),
+            };
+            let elapsed = Span(sent.elapsed().as_micros() as u64);
+            if ended.outcome != Outcome::Success {
+                driver.tally().count(Count::ProbeFailed);
+            }
+            driver.tell(Event::Probed { server, outcome: ended.outcome, elapsed, report: ended.report });
+        });
+    }
+}
+
+/// Comes back when the time of an attempt is over: that of a long request begins when all of it has come.
+async fn time_up(call: &Call, until: Instant) {
+    match &call.upload {
+        Some(upload) => sleep_until(upload.whole().await - ATTEMPT_RESERVE).await,
+        None => sleep_until(until).await,
+    }
+}
+
+/// An attempt that was allowed to begin, and how its request stood then.
+struct Begun {
+    first_byte: FirstByte,
+    itself: EarlierAttempt,
+    before: Vec<EarlierAttempt>,
+}
+
+/// An attempt that is out, as the backends' side asks about it.
+struct Sending<'a> {
+    driver: &'a Driver,
+    id: RequestId,
+    attempt: u32,
+    place: Place,
+    begin_by: Option<Instant>,
+    /// The last permit that it got.
+    begun: RefCell<Option<Begun>>,
+}
+
+impl Owner for Sending<'_> {
+    fn permit(&self) -> Option<AttemptPermit> {
+        match self.driver.permit(self) {
+            Ok(permit) => {
+                events::attempt_begun(self.id, self.attempt);
+                Some(permit)
+            }
+            Err(denied) => {
+                events::attempt_denied(self.id, self.attempt, denied.name());
+                None
+            }
+        }
+    }
+
+    fn bind(&self) {
+        let attempt = AttemptNo(self.attempt);
+        self.driver.tell(Event::Bound { request: self.id, attempt });
+    }
+
+    fn begin(&self, served: Served) -> bool {
+        let first = self.driver.0.core.borrow_mut().requests.begin(self.id, served);
+        if first {
+            let attempt = AttemptNo(self.attempt);
+            self.driver.tell(Event::FirstByte { request: self.id, attempt });
+        }
+        first
+    }
+}
--- /dev/null
+++ b/agent/src/driver/tests.rs
@@ -0,0 +1,105 @@
+use super::*;
+use crate::budget::Budget;
+use crate::permits::admission::admit;
+use hyper::{HeaderMap, Method, Uri};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio::task::{yield_now, LocalSet};
+
+async fn driver() -> (Driver, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let list = format!(
+        r#"{{"rev":1,"all":true,"targets":[{{"uid":"s","endpoint":"{}","state":"SERVING"}}]}}"#,
+        listener.local_addr().unwrap()
+    );
+    let second = Duration::from_secs(1);
+    let pool = Pool::new(4, second, second);
+    let backends = Backends::new(pool, Budget::new(1 << 20), Vec::new(), false);
+    let known = serde_json::from_str(&list).unwrap();
+    let driver = Driver::new(
+        Settings::default(),
+        7,
+        (&[], &[]),
+        Some(known),
+        backends,
+        Commands::new(SocketAddr::from(([127, 0, 0, 1], 1))),
+    );
+    (driver.unwrap(), listener)
+}
+
+fn submit(driver: &Driver) -> (RequestId, oneshot::Receiver<Answer>) {
+    let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
+    let call =
+        Call { method: Method::GET, uri, headers, body: bytes::Bytes::new(), upload: None, _portion: None };
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let (class, tenant, key, cost_hint, repeat, coming) = (ClassId(0), None, None, None, false, false);
+    let arrival = Arrival { class, tenant, key, cost_hint, repeat, client_deadline: deadline, coming };
+    let admission = admit(Instant::now(), deadline, None).expect("no end of the process");
+    driver.submit(call, HeaderValue::from_static("id"), arrival, admission).expect("the only one of its name")
+}
+
+/// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
+/// called off must not be forgotten before that attempt's outcome is told.
+#[tokio::test]
+async fn an_attempt_called_off_is_reported_though_its_request_has_ended() {
+    let local = LocalSet::new();
+    let test = async {
+        let (driver, _listener) = driver().await;
+        let (id, answer) = submit(&driver);
+        let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
+        driver.perform(vec![cancel, Action::Fail { request: id, reason: Reason::FailedLate }]);
+        assert!(matches!(answer.await, Ok(Answer::Failed)));
+        assert!(driver.0.core.borrow().requests.is_open(id), "its outcome has not been told");
+        while driver.0.core.borrow().requests.is_open(id) {
+            yield_now().await;
+        }
+    };
+    local.run_until(test).await;
+}
+
+/// Nothing is answered twice, and nothing is kept of a request that is over.
+#[tokio::test]
+async fn the_first_answer_is_the_only_one() {
+    let local = LocalSet::new();
+    let test = async {
+        let (driver, _listener) = driver().await;
+        let (id, answer) = submit(&driver);
+        driver.perform(vec![
+            Action::Fail { request: id, reason: Reason::FailedLate },
+            Action::Refuse { request: id, retry_after: None, reason: Reason::WaitedOut },
+        ]);
+        assert!(matches!(answer.await, Ok(Answer::Failed)));
+        driver.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
+        while driver.0.core.borrow().requests.is_open(id) {
+            yield_now().await;
+        }
+    };
+    local.run_until(test).await;
+}
+
+/// Backends that are replaced under ever new names must not be kept, and the one that takes the address of one
+/// that has gone is another: nothing of the old one is its own.
+#[tokio::test(start_paused = true)]
+async fn servers_that_have_left_are_forgotten() {
+    let local = LocalSet::new();
+    let test = async {
+        let (driver, listener) = driver().await;
+        let address = listener.local_addr().unwrap();
+        let mut numbers = HashSet::new();
+        for n in 0..50 {
+            let list = format!(
+                r#"{{"rev":{n},"all":true,"targets":[{{"uid":"s{n}","endpoint":"{address}","state":"SERVING"}}]}}"#
+            );
+            driver.listed(serde_json::from_str(&list).unwrap());
+            tokio::time::advance(Duration::from_secs(1)).await;
+            let servers = &mut driver.0.core.borrow_mut().servers;
+            servers.forget_left();
+            let (ids, records) = servers.known();
+            assert!(records <= 4, "{records} are kept");
+            assert_eq!(ids.len(), records);
+            assert!(numbers.insert(ids[&format!("s{n}")]), "a number is given twice");
+        }
+    };
+    local.run_until(test).await;
+}
