--- /dev/null
+++ b/agent/src/budget/tests.rs
@@ -0,0 +1,49 @@
+use super::*;
+
+#[test]
+fn what_is_dropped_is_free_again_and_no_more_than_all_is_given() {
+    let budget = Budget::new(10);
+    let first = budget.take(7);
+    assert!(first.is_some() && budget.take(4).is_none());
+    let second = budget.take(3);
+    drop(first);
+    assert!(budget.take(8).is_none() && budget.take(7).is_some());
+    drop(second);
+}
+
+#[tokio::test]
+async fn another_size_counts_from_the_next_portion_on_and_wakes_who_waits() {
+    let budget = Budget::new(10);
+    let first = budget.take(7);
+    budget.allow(5);
+    assert!(budget.take(1).is_none(), "seven of five are held");
+    drop(first);
+    let five = budget.take(5);
+    assert!(five.is_some() && budget.take(1).is_none());
+    let grow = async {
+        tokio::task::yield_now().await;
+        budget.allow(8);
+    };
+    let (portion, ()) = tokio::join!(budget.take_when_free(3), grow);
+    assert!(budget.take(1).is_none());
+    drop((portion, five));
+    assert!(budget.take(8).is_some());
+}
+
+#[tokio::test]
+async fn those_who_wait_get_theirs_as_others_end() {
+    let budget = Budget::new(10);
+    let (first, second) = (budget.take(5), budget.take(5));
+    let wait = || async {
+        let portion = budget.take_when_free(3).await;
+        tokio::task::yield_now().await;
+        drop(portion);
+    };
+    let free = async {
+        tokio::task::yield_now().await;
+        drop(first);
+    };
+    tokio::join!(wait(), wait(), wait(), free);
+    assert!(budget.take(5).is_some() && budget.take(6).is_none());
+    drop(second);
+}
--- a/agent/src/peers/config.rs
+++ b/agent/src/peers/config.rs
@@ -100,23 +100,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn agents_without_a_seed_of_their_own_draw_differently() {
-        let of = |number: u16, unix_ms| {
-            let words = PeerWords {
-                allowed: true,
-                number: Some(number),
-                name: "n".into(),
-                listen: Some(json!("127.0.0.1:0")),
-                peers: Some(json!(["127.0.0.1:1", "127.0.0.1:2"])),
-                seed: 0,
-            };
-            PeersConfig::new(words, &FleetTable::default(), None, None).unwrap().setup(unix_ms).seed
-        };
-        assert!(of(0, 1) != of(1, 1) && of(0, 1) != of(0, 2));
-    }
-}
+mod tests;
