--- a/agent/src/signals.rs
+++ b/agent/src/signals.rs
@@ -13,39 +13,42 @@
 use tokio::net::UnixStream;
 use tokio::time::timeout;
 
-/// A signal whose byte got lost is noticed within this; an answer is given 250 ms before the kill.
-const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// A SIGTERM whose byte got lost is noticed within this; answers are given 250 ms before the kill.
+const LOOK_FOR_TERMINATE: Duration = Duration::from_millis(200);
+/// And a SIGHUP within this; a new configuration counts 4 s after it.
+const LOOK_FOR_HANGUP: Duration = Duration::from_secs(1);
 
 /// One kind of signal, as the process waits for it. Those that come while nobody waits count as one.
 pub struct Signal {
     came: Arc<AtomicBool>,
     pipe: UnixStream,
+    look_every: Duration,
 }
 
 impl Signal {
     /// SIGTERM, from now on; must be called on the runtime.
     pub fn terminate() -> io::Result<Signal> {
-        Signal::of(SIGTERM)
+        Signal::of(SIGTERM, LOOK_FOR_TERMINATE)
     }
 
     /// SIGHUP, from now on; must be called on the runtime.
     pub fn hangup() -> io::Result<Signal> {
-        Signal::of(SIGHUP)
+        Signal::of(SIGHUP, LOOK_FOR_HANGUP)
     }
 
-    fn of(signal: i32) -> io::Result<Signal> {
+    fn of(signal: i32, look_every: Duration) -> io::Result<Signal> {
         let came = Arc::new(AtomicBool::new(false));
         // In this order: whoever is woken finds the flag set.
         signal_hook::flag::register(signal, Arc::clone(&came))?;
         let (pipe, handler) = StdUnixStream::pair()?;
         signal_hook::low_level::pipe::register(signal, handler)?;
         pipe.set_nonblocking(true)?;
-        Ok(Signal { came, pipe: UnixStream::from_std(pipe)? })
+        Ok(Signal { came, pipe: UnixStream::from_std(pipe)?, look_every })
     }
 
     /// Comes back once the signal has come.
     pub async fn recv(&mut self) {
-        while timeout(LOOK_EVERY, std::future::poll_fn(|context| self.poll(context))).await.is_err() {}
+        while timeout(self.look_every, std::future::poll_fn(|context| self.poll(context))).await.is_err() {}
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
--- a/lab/src/world/inject.rs
+++ b/lab/src/world/inject.rs
@@ -21,6 +21,8 @@
 const HEAL: Duration = Duration::from_millis(300);
 /// A new process that is killed is so within this from its start: before it says yes, or just after.
 const KILLED_WITHIN: Duration = Duration::from_millis(300);
+/// A process may be held up this long between reading its clock and writing, and is killed no later for it.
+const HELD_UP_MOST: Duration = Duration::from_millis(150);
 /// How often a process that was told to end is looked at, and started again where it could not listen.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 const START_TRIES: usize = 300;
@@ -217,8 +219,8 @@
         self.restarting.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// SIGTERM, and SIGKILL no sooner than the protocol's page says: a time in which the world had stopped the process does
-    /// not count. What is lost at an earlier kill, which a fault may ask for, is the world's doing.
+    /// SIGTERM, and SIGKILL no sooner than the protocol's page says: a time in which the world had stopped the process, but for
+    /// what any process may be held up, does not count. What is lost at an earlier kill, which a fault may ask for, is the world's doing.
     async fn end_gracefully(&self, index: usize, agent: &Arc<AsyncMutex<Agent>>) {
         let from = self.clock.now();
         let (starts, stalled) = {
@@ -242,7 +244,8 @@
             if agent.starts() != starts || agent.has_ended() {
                 return;
             }
-            if since >= kill.unwrap_or(bound + (agent.stalled() - stalled)) {
+            let stopped = (agent.stalled() - stalled).saturating_sub(HELD_UP_MOST);
+            if since >= kill.unwrap_or(bound + stopped) {
                 agent.kill().await;
                 if kill.is_some_and(|kill| kill < bound) {
                     let to = self.clock.now();
