--- a/lab/src/judge/checker/tests.rs
+++ b/lab/src/judge/checker/tests.rs
@@ -169,6 +169,24 @@
     assert_eq!([two(2, 2, 200, false), two(2, 2, 1160, false), two(1, 1, 1300, false)], [0, 1, 1]);
 }
 
+/// A link that falls silent keeps what is on its way, and delivers it when it is whole again: that was sent before.
+#[test]
+fn a_repeat_that_a_silent_link_delivers_late_was_sent_in_its_window() {
+    let repeat_at = |second_ms: u64, silence: Option<(u64, u64)>| {
+        let mut first = attempt(0, 2, 0, 100);
+        (first.effect, first.answered) = (None, None);
+        let tries = vec![a_try(2, End::Served(7), second_ms + 10)];
+        let mut evidence = of(tries, vec![first, attempt(1, 2, 1, second_ms)]);
+        let ms = |ms: u64| At(ms * MS);
+        evidence.silences.extend(silence.map(|(from, to)| Silence { from: ms(from), to: ms(to) }));
+        count(&evidence, Rule::NoDoubleEffect)
+    };
+    // Its window of a second ends at 1,100 ms.
+    assert_eq!([repeat_at(1_400, None), repeat_at(1_400, Some((900, 1_450)))], [1, 0]);
+    // Silent only after the window, or whole again long before.
+    assert_eq!([repeat_at(1_400, Some((1_200, 1_450))), repeat_at(1_400, Some((900, 1_300)))], [1, 1]);
+}
+
 #[test]
 fn effects_are_counted_by_key_and_dropped_repeats_are_none() {
     let (first, mut second) = (attempt(0, 2, 0, 100), attempt(1, 2, 1, 200));
--- a/lab/src/soak_command.rs
+++ b/lab/src/soak_command.rs
@@ -28,6 +28,12 @@
     /// Leave system calls and wall clocks alone; all other faults stay as the seed has them
     #[arg(long)]
     sound_machine: bool,
+    /// Pass a file under deploy/ to every agent, such as deploy/events.toml
+    #[arg(long, value_name = "FILE")]
+    with: Vec<PathBuf>,
+    /// Keep the agents' logs in this folder
+    #[arg(long, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
     /// Print the plan, and run nothing
     #[arg(long)]
     plan: bool,
@@ -54,7 +60,9 @@
         Some(program) => program.clone(),
         None => crate::built("dilljunction")?,
     };
-    let subject = Subject::Program(program, Vec::new());
+    world.keep_logs = arguments.logs.clone();
+    let files = arguments.with.iter().flat_map(|file| ["--with".to_string(), file.display().to_string()]);
+    let subject = Subject::Program(program, files.collect());
     let report = play(world.clone(), subject.clone()).await?;
     print_report(seed, &report);
     if report.passed() || report.outcome.late {
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -19,7 +19,7 @@
 use crate::standins::office::{Habits, Office, Plan};
 use crate::world::agents::Upgrade;
 use serde::Deserialize;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// The worlds that come with the lab.
@@ -108,6 +108,9 @@
     /// What goes wrong.
     #[serde(default)]
     pub fault: Vec<Fault>,
+    /// Where the agents' logs are kept when the run is over, if they are.
+    #[serde(skip)]
+    pub keep_logs: Option<PathBuf>,
 }
 
 /// What the machine does to some agents, from each start of theirs on.
--- a/lab/src/world/run.rs
+++ b/lab/src/world/run.rs
@@ -16,7 +16,7 @@
 use crate::world::{Fault, World};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -119,6 +119,20 @@
         Ok(Folder(path))
     }
 
+    /// Copies all logs to another folder.
+    fn copy_logs(&self, to: &Path) -> Result<(), String> {
+        let named = |e: std::io::Error| format!("{}: {e}", to.display());
+        std::fs::create_dir_all(to).map_err(named)?;
+        for entry in std::fs::read_dir(&self.0).map_err(named)? {
+            let from = entry.map_err(named)?.path();
+            let name = from.file_name().filter(|_| from.extension().is_some_and(|e| e == "log"));
+            if let Some(name) = name {
+                std::fs::copy(&from, to.join(name)).map_err(named)?;
+            }
+        }
+        Ok(())
+    }
+
     /// What agents have said of broken rules and panics, the first of each log.
     fn complaints(&self) -> Vec<String> {
         let logs = std::fs::read_dir(&self.0).into_iter().flatten().flatten().map(|entry| entry.path());
@@ -475,6 +489,9 @@
     crashed.extend(stage.failed.lock().unwrap_or_else(PoisonError::into_inner).drain(..));
     let ready_after = std::mem::take(&mut *stage.ready_after.lock().unwrap_or_else(PoisonError::into_inner));
     let complaints = stage.folder.complaints();
+    if let Some(kept) = &world.keep_logs {
+        stage.folder.copy_logs(kept)?;
+    }
     let evidence = std::mem::take(&mut *stage.book.open()).since(zero);
     let late = evidence.lag_p99 > LATE_P99 || evidence.lag_most > LATE_MOST;
     let (verdict, service) = (judge(&evidence, &world.rules()), count(&evidence, &world.terms()));
