Lab: each lab's agents listen at a loopback address of its own

An agent that is down for a moment had left its port to the other lab. The pid now picks the address.

--- a/lab/src/world/agents.rs
+++ b/lab/src/world/agents.rs
@@ -513,7 +513,7 @@
         .collect();
     let zones: Vec<&str> = world.building.iter().map(|b| b.name.as_str()).collect();
     let mut config = json!({
-        "name": format!("agent-{index}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "name": format!("agent-{index}"), "listen": format!("{}:0", platform::own_loopback()), "discovery": discovery.to_string(),
         "seed": format!("{seed:016x}"),
         "limits": {"cores": 1.0, "memory_mb": world.limits.memory_mb, "sockets": world.limits.sockets},
         "settings": {
--- a/lab/src/world/platform.rs
+++ b/lab/src/world/platform.rs
@@ -1,7 +1,7 @@
 //! How the platform starts the agent's program: nothing of our own surroundings reaches it, and where the platform holds the
 //! clients' socket, that is its descriptor 7.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -12,6 +12,13 @@
 const DEADLINE_COUNTED_MOST: Duration = Duration::from_secs(3);
 const KILL_SLACK: Duration = Duration::from_millis(700);
 
+/// The loopback address at which this lab's agents listen. Another lab on this machine has another one: an agent that is down for a
+/// moment must find its port free, and its clients must not reach somebody else's agent meanwhile.
+pub fn own_loopback() -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (high & 0x3f), low, 1)
+}
+
 /// How long after SIGTERM the platform kills a process, given the deadlines of its classes in milliseconds.
 pub fn kill_after(deadlines_ms: impl Iterator<Item = f64>) -> Duration {
     let longest = deadlines_ms.fold(0.0, f64::max);
