--- a/agent/tests/loopback/machine.rs
+++ b/agent/tests/loopback/machine.rs
@@ -73,6 +73,28 @@
     }
 }
 
+/// What a connection waited in the listener's queue, while accepts failed, is gone of its client's time: what is told to the server is
+/// what is left.
+#[test]
+fn time_in_the_queue_of_a_failing_listener_is_gone() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let text = config(discovery.address, &line, SETTINGS, 1024);
+    let agent = Agent::start_faulty(&text, "accept=105/1 for_ms=2000");
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("read", 9_000)).status(), 200);
+    let told = |n: usize| backend.heard.all()[n].header("x-budget-ms").and_then(|ms| ms.parse::<u64>().ok());
+    assert!(
+        told(0).is_some_and(|ms| ms < 8_000),
+        "{:?} of 9000 ms after a second and more in the queue",
+        told(0)
+    );
+    // The next request on it has not waited.
+    assert_eq!(client.ask(&request("read", 9_000)).status(), 200);
+    assert!(told(1).is_some_and(|ms| ms > 8_000), "{:?}", told(1));
+}
+
 /// A machine that is short of buffers for a moment ends no start, and no request.
 #[test]
 fn a_start_outlasts_a_machine_that_is_short_of_buffers() {
