A request that waited in the listener's queue has that much less time

agent/src/fronts/plain/server.rs paused after a failed accept, and while all seats were taken, and counted what it then accepted as if it had just come; intake.rs began the client's time there. Now the front knows since when it could not accept, until it has seen the queue empty, and the first request of such a connection has so much less.

--- a/agent/src/fronts/plain/intake.rs
+++ b/agent/src/fronts/plain/intake.rs
@@ -170,8 +170,10 @@
         let (source, upload) = is_long.then(|| upload(stated, budget)).unzip();
         let _portion = more.flatten();
         let rest = source.map(|source| Remainder { body, pace, source, budget, _portion });
-        // The client's time runs from the last byte of its request, which has just come, or will.
-        let deadline = Instant::now() + budget;
+        // The client's time runs from the last byte of its request, which has just come, or will; or had come before its
+        // connection was accepted.
+        let queued = seat.take_queued();
+        let deadline = Instant::now() + if is_long { budget } else { budget.saturating_sub(queued) };
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
         let arrival = Arrival {
--- a/agent/src/fronts/plain/seats.rs
+++ b/agent/src/fronts/plain/seats.rs
@@ -47,6 +47,8 @@
 /// What a connection shows of itself to the others.
 pub struct Seat {
     number: u64,
+    /// How long it may have waited in the listener's queue; its first request has waited with it.
+    queued: Cell<Duration>,
     view: View,
     phase: Cell<Phase>,
     since: Cell<Instant>,
@@ -115,6 +117,11 @@
         self.enter(if leaves { Phase::Leaving } else { Phase::Waiting });
     }
 
+    /// How long the request that has just come may have waited before its connection was accepted; asked once for each.
+    pub fn take_queued(&self) -> Duration {
+        self.queued.take()
+    }
+
     /// Which connection this is, in events.
     pub fn number(&self) -> u64 {
         self.number
@@ -227,10 +234,12 @@
 
 impl Seats {
     /// One more.
-    pub fn enter(&self, view: View) -> Taken<'_> {
+    /// `queued`: how long it may have waited in the listener's queue.
+    pub fn enter(&self, view: View, queued: Duration) -> Taken<'_> {
         let number = self.next.replace(self.next.get() + 1);
         let seat = Rc::new(Seat {
             number,
+            queued: Cell::new(queued),
             view,
             phase: Cell::new(Phase::Waiting),
             since: Cell::new(Instant::now()),
--- a/agent/src/fronts/plain/seats/tests.rs
+++ b/agent/src/fronts/plain/seats/tests.rs
@@ -25,16 +25,16 @@
     {
         let mut waiting = pin!(seats.occupied());
         assert!(!is_ready(waiting.as_mut()));
-        let first = seats.enter(view.clone());
+        let first = seats.enter(view.clone(), Duration::ZERO);
         assert!(is_ready(waiting), "the first one wakes who waits");
-        let second = seats.enter(view.clone());
+        let second = seats.enter(view.clone(), Duration::ZERO);
         assert!(is_ready(seats.occupied()));
         drop(first);
         assert!(is_ready(seats.occupied()), "one is left");
         drop(second);
     }
-    drop(seats.enter(view.clone()));
+    drop(seats.enter(view.clone(), Duration::ZERO));
     assert!(!is_ready(seats.occupied()), "it came and went: there is none");
-    let _again = seats.enter(view);
+    let _again = seats.enter(view, Duration::ZERO);
     assert!(is_ready(seats.occupied()));
 }
--- a/agent/src/fronts/plain/server.rs
+++ b/agent/src/fronts/plain/server.rs
@@ -20,11 +20,13 @@
 use ryelead::{RequestId, Span};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
@@ -95,28 +97,33 @@
 
     /// Accepts connections until dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        // Since when connections may have waited: no longer than that, once the queue has been seen empty.
+        let mut blocked_since: Option<Instant> = None;
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
             // is made before it is needed.
             while self.open.count() >= self.open_most.get() {
+                blocked_since.get_or_insert_with(Instant::now);
                 self.seats.make_room();
                 let _ = timeout(ACCEPT_PAUSE, self.seats.left()).await;
             }
             let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+                accepted = next_connection(listener, &mut blocked_since) => accepted,
                 () = self.crowded.notified() => continue,
             };
             match accepted {
                 Ok((stream, _)) => {
                     let (server, ticket) = (Rc::clone(self), self.open.enter());
                     let (wire, view) = Wire::of_client(stream, ticket);
+                    let queued = blocked_since.map_or(Duration::ZERO, |since| since.elapsed());
                     tokio::task::spawn_local(async move {
-                        let taken = server.seats.enter(view);
+                        let taken = server.seats.enter(view, queued);
                         server.converse(&taken.seat, wire).await;
                     });
                 }
                 Err(e) if is_of_one_connection(&e) => yield_now().await,
                 Err(e) => {
+                    blocked_since.get_or_insert_with(Instant::now);
                     log(&format!("cannot accept: {e}"));
                     if is_shortage(&e) {
                         self.seats.make_room();
@@ -297,6 +304,21 @@
     }
 }
 
+/// The next connection; while there is none, nothing waits in the queue.
+async fn next_connection(
+    listener: &TcpListener,
+    blocked_since: &mut Option<Instant>,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    poll_fn(|context| {
+        let accepted = listener.poll_accept(context);
+        if accepted.is_pending() {
+            *blocked_since = None;
+        }
+        accepted
+    })
+    .await
+}
+
 /// True if an accept failed for the connection that it would have brought, or for a signal: the next may be there already.
 fn is_of_one_connection(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted)
