--- a/review/standins/drain_long_answer.rs
+++ b/review/standins/drain_long_answer.rs
@@ -1,5 +1,5 @@
-//! Clients read long answers at 64 kB a second while an operator empties the agent (or, with the argument
-//! `stop`, while the platform tells it to end). All that the servers gave has to reach the clients.
+//! Clients read long answers at 64 kB a second while an operator empties the agent (or, in two other plays,
+//! while the platform tells it to end). All that the servers gave has to reach the clients.
 
 use crate::net::{call, Conn};
 use crate::platform::{agents, discovery, target, trouble, Agent, Record, ZONES};
@@ -69,6 +69,20 @@
     Ok(body == expected)
 }
 
+/// What comes between the servers' answers and their clients.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// An operator empties the agent.
+    Drain,
+    /// The platform tells the agent to end, and does not kill it.
+    Stop,
+    /// Idle connections beside those of the clients: together a third of the descriptors.
+    Crowd,
+}
+
+/// The idle connections of [`Trouble::Crowd`].
+const IDLE: usize = 290;
+
 fn disturb(agent: &Agent, stop: bool, record: &Record) -> Result<(), String> {
     if stop {
         agent.terminate()?;
@@ -83,7 +97,7 @@
     Ok(())
 }
 
-pub fn run(stop: bool) -> Result<bool, String> {
+pub fn run(trouble_kind: Trouble) -> Result<bool, String> {
     let (record, disturbed) = (Record::new()?, trouble());
     let notes = record.clone();
     let handler: Arc<Handler> = Arc::new(move |server, head, conn| {
@@ -99,6 +113,14 @@
         targets.push(target(number, &server(number, &handler)?, ZONES[number % 3]));
     }
     let mut agents = agents(1, &discovery(targets.clone())?, &targets, &record)?;
+    let mut idle = Vec::new();
+    if disturbed && trouble_kind == Trouble::Crowd {
+        for _ in 0..IDLE {
+            idle.push(agents[0].connect()?);
+        }
+        record.line(&format!("{IDLE} connections are opened and send nothing"));
+        sleep(Duration::from_millis(200));
+    }
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
         let (conn, record) = (Conn::new(agents[0].connect()?), record.clone());
@@ -106,8 +128,8 @@
         sleep(Duration::from_millis(10));
     }
     sleep(EMPTIED_AFTER);
-    if disturbed {
-        disturb(&agents[0], stop, &record)?;
+    if disturbed && trouble_kind != Trouble::Crowd {
+        disturb(&agents[0], trouble_kind == Trouble::Stop, &record)?;
     }
     let mut whole = 0;
     for client in clients {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -13,6 +13,7 @@
 mod late_second_answer;
 mod short_length;
 
+use drain_long_answer::Trouble;
 use std::process::exit;
 
 fn main() {
@@ -20,8 +21,10 @@
     let result = match case.as_str() {
         "short-length" => short_length::run(),
         "late-second-answer" => late_second_answer::run(),
-        "drain-long-answer" => drain_long_answer::run(false),
-        "stop-long-answer" => drain_long_answer::run(true),
+        "drain-long-answer" => drain_long_answer::run(Trouble::Drain),
+        // No cases: for the report.
+        "crowd-long-answer" => drain_long_answer::run(Trouble::Crowd),
+        "stop-long-answer" => drain_long_answer::run(Trouble::Stop),
         other => Err(format!("no such case: {other:?}")),
     };
     match result {
