--- a/review/standins/drain_long_answer.rs
+++ b/review/standins/drain_long_answer.rs
@@ -101,8 +101,9 @@
     let (record, disturbed) = (Record::new()?, trouble());
     let notes = record.clone();
     let handler: Arc<Handler> = Arc::new(move |server, head, conn| {
-        sleep(Duration::from_millis(25));
         let id = head.header("x-call-id").unwrap_or_default();
+        notes.line(&format!("server {server} runs {id}"));
+        sleep(Duration::from_millis(25));
         let bytes = bytes_of(usize::from_str_radix(id, 16).unwrap_or_default());
         let written = conn.stream.write_all(&good(&schedule(id, bytes)));
         notes.line(&format!("server {server} has given all of its answer to {id}: {}", written.is_ok()));
--- a/review/standins/short_length.rs
+++ b/review/standins/short_length.rs
@@ -24,8 +24,9 @@
     let (answers, spoilt) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let (count, count_spoilt, notes) = (Arc::clone(&answers), Arc::clone(&spoilt), record.clone());
     let handler: Arc<Handler> = Arc::new(move |number, head, conn| {
-        sleep(WORK);
         let id = head.header("x-call-id").unwrap_or_default();
+        notes.line(&format!("server {number} runs {id}"));
+        sleep(WORK);
         let body = schedule(id, BYTES);
         let is_spoilt = count.fetch_add(1, Ordering::Relaxed) % SPOILT_ONE_IN == SPOILT_ONE_IN - 1;
         if !(spoil && is_spoilt) {
