Follow the raw bytes of answers: what arrives behind their end is counted and logged

Neither logs nor metrics could tell the hypotheses apart: the bytes behind an answer were visible to hyper alone, which closes the connection without saying why. Change: `AnswerScanner` finds the end of an answer in the raw bytes (stated length, chunks, 1xx answers ahead). hyper gets no bytes behind it, so that they can be examined, in the kernel too, before the connection is closed. `AnswerEnd` compares them with the answer: event `surplus`, counters `surplus-copy`, `surplus-other`, `surplus-late`.

--- a/agent/src/events.rs
+++ b/agent/src/events.rs
@@ -67,6 +67,14 @@
     }
 }
 
+/// Bytes have arrived behind the end of an answer; `sample` holds the first of them.
+pub fn surplus_received(server: ServerId, kind: &str, bytes: u64, sample: &[u8]) {
+    if is_enabled() {
+        let (server, sample) = (server.0, sample.escape_ascii().to_string());
+        tracing::debug!(target: TARGET, server, kind, bytes, sample, "surplus");
+    }
+}
+
 /// An attempt was cancelled.
 pub fn attempt_cancelled(request: RequestId, attempt: u32) {
     tracing::debug!(target: TARGET, request = request.0, attempt, "attempt cancelled");
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod admin_client;
 mod agent;
+mod answer_scanner;
 mod clients;
 mod clock;
 mod config;
--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -1,6 +1,7 @@
 //! A TCP stream for hyper that also provides what hyper hides: the number of bytes read and written, whether
 //! the peer has closed, and how the head of a request states the body length.
 
+use crate::answer_scanner::{AnswerScanner, SurplusKind, SURPLUS_MAX};
 use crate::head::HeadScanner;
 use crate::permits::attempt::AttemptPermit;
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -81,11 +82,15 @@
     write_stalled_since: Cell<Option<Instant>>,
     /// The head of the request that is being read, on connections of clients.
     head: Option<RefCell<HeadScanner>>,
+    /// The answer that is being read, on connections to servers.
+    answer: Option<RefCell<AnswerScanner>>,
     data_arrived: Notify,
 }
 
 impl ConnectionState {
-    fn record_read(&self, bytes: &[u8]) -> io::Result<()> {
+    /// Records bytes that have been read; returns how many of them hyper gets. It gets none that lie behind
+    /// the end of an answer: it would close the connection before they have been examined.
+    fn record_read(&self, bytes: &[u8]) -> io::Result<usize> {
         self.received.set(self.received.get() + bytes.len() as u64);
         if let Some(left) = self.read_limit.get() {
             let left = left.checked_sub(bytes.len() as u64).ok_or(io::ErrorKind::FileTooLarge)?;
@@ -94,8 +99,14 @@
         if let Some(head) = &self.head {
             head.borrow_mut().feed(bytes);
         }
+        let passed = self.answer.as_ref().map_or(bytes.len(), |answer| answer.borrow_mut().feed(bytes));
         self.data_arrived.notify_one();
-        Ok(())
+        Ok(passed)
+    }
+
+    /// Number of bytes that have been read behind the end of the last answer.
+    fn surplus_bytes(&self) -> u64 {
+        self.answer.as_ref().map_or(0, |answer| answer.borrow().surplus().bytes())
     }
 }
 
@@ -146,6 +157,9 @@
         self.state.expired.set(false);
         self.state.armed.set(Some(Armed { received: self.received(), permit }));
         self.state.read_limit.set(Some(read_limit));
+        if let Some(answer) = &self.state.answer {
+            answer.borrow_mut().expect_answer();
+        }
     }
 
     /// Whether the last request was not written because its permit had expired.
@@ -158,10 +172,57 @@
         self.state.read_limit.set(Some(read_limit));
     }
 
+    /// The socket, which stays open as long as the result is kept, also if hyper drops its connection.
+    pub fn keep_open(&self) -> Option<Rc<TcpStream>> {
+        self.stream.upgrade()
+    }
+
+    /// Whether the answer that is being read is complete and its body is empty.
+    pub fn is_empty_answer(&self) -> bool {
+        self.state.answer.as_ref().is_some_and(|answer| answer.borrow().has_ended_without_body())
+    }
+
+    /// Examines what has arrived behind the end of the last answer, including bytes that the kernel still
+    /// holds. `body` is the body of that answer as it was sent, or empty if that isn't known.
+    pub fn examine_surplus(&self, body: &[u8]) -> SurplusKind {
+        let Some(answer) = &self.state.answer else { return SurplusKind::None };
+        if let Some(stream) = self.stream.upgrade().filter(|_| answer.borrow().has_ended()) {
+            self.read_surplus(&stream);
+        }
+        let kind = answer.borrow().surplus_kind(body);
+        kind
+    }
+
+    /// Reads what the kernel holds behind the end of an answer, within [`SURPLUS_MAX`]. An end or an error of
+    /// the connection is left for its next use.
+    fn read_surplus(&self, stream: &TcpStream) {
+        let socket = socket2::SockRef::from(stream);
+        while self.surplus_bytes() < SURPLUS_MAX as u64 && matches!(peek(stream), Ok(1..)) {
+            let read = READ_BUFFER.with_borrow_mut(|buffer| {
+                let n = io::Read::read(&mut &*socket, buffer)?;
+                self.state.record_read(&buffer[..n])
+            });
+            if read.is_err_and(|error| !is_retryable(&error)) {
+                return;
+            }
+        }
+    }
+
+    /// Calls `report` with the kind, the number and the first of the bytes behind the end of the last answer.
+    pub fn surplus<T>(&self, report: impl FnOnce(u64, &[u8]) -> T) -> Option<T> {
+        let answer = self.state.answer.as_ref()?.borrow();
+        Some(report(answer.surplus().bytes(), answer.surplus().kept()))
+    }
+
+    /// Number of bytes that have been read behind the end of the last answer.
+    pub fn surplus_bytes(&self) -> u64 {
+        self.state.surplus_bytes()
+    }
+
     /// Whether an idle connection is still usable: no bytes, close or error have arrived. Asks the kernel,
     /// since the runtime may not have polled the socket for a while.
     pub fn is_quiet(&self) -> bool {
-        self.stream.upgrade().is_some_and(|stream| is_quiet(&stream))
+        self.surplus_bytes() == 0 && self.stream.upgrade().is_some_and(|stream| is_quiet(&stream))
     }
 
     /// Makes a later close discard unsent bytes. After a plain close the kernel goes on delivering them for
@@ -228,7 +289,7 @@
 }
 
 impl MeteredStream {
-    /// Wraps a stream to a server or to discovery. Disables Nagle's algorithm.
+    /// Wraps a stream to discovery or to an operator. Disables Nagle's algorithm.
     pub fn new(stream: TcpStream, ticket: Ticket) -> (MeteredStream, ConnectionView) {
         MeteredStream::with(stream, ticket, ConnectionState::default())
     }
@@ -244,6 +305,12 @@
         )
     }
 
+    /// Wraps a stream to a server and follows its answers.
+    pub fn of_server(stream: TcpStream, ticket: Ticket) -> (MeteredStream, ConnectionView) {
+        let state = ConnectionState { answer: Some(RefCell::default()), ..ConnectionState::default() };
+        MeteredStream::with(stream, ticket, state)
+    }
+
     fn with(stream: TcpStream, ticket: Ticket, state: ConnectionState) -> (MeteredStream, ConnectionView) {
         let _ = stream.set_nodelay(true);
         let (stream, state) = (Rc::new(stream), Rc::new(state));
@@ -260,15 +327,23 @@
     ) -> Poll<io::Result<()>> {
         let len_max = READ_MAX.min(buf.remaining());
         loop {
+            // No answer will follow on this connection: nobody is woken, and it is closed without a read.
+            if self.state.surplus_bytes() > 0 {
+                return Poll::Pending;
+            }
             ready!(self.stream.poll_read_ready(cx))?;
             let read = READ_BUFFER.with_borrow_mut(|buffer| {
                 let n = self.stream.try_read(&mut buffer[..len_max])?;
-                buf.put_slice(&buffer[..n]);
-                self.state.record_read(&buffer[..n])
+                let passed = self.state.record_read(&buffer[..n])?;
+                buf.put_slice(&buffer[..passed]);
+                Ok((n, passed))
             });
             match read {
+                // Zero bytes would mean that the server has closed.
+                Ok((1.., 0)) => {}
+                Ok(_) => return Poll::Ready(Ok(())),
                 Err(e) if is_retryable(&e) => {}
-                read => return Poll::Ready(read),
+                Err(e) => return Poll::Ready(Err(e)),
             }
         }
     }
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters of an agent's activity, logged as one line per period, so that the cost of a whole fleet can be
 //! added up with `dilljunction-lab tally`. Nothing is counted unless the switches file enables it.
 
+use crate::answer_scanner::SurplusKind;
 use crate::log::log;
 use ryelead::{Outcome, Reason};
 use std::cell::{Cell, RefCell};
@@ -42,9 +43,24 @@
     PeerPacketDropped,
     /// Packets sent to other agents.
     PeerPacketSent,
+    /// Answers behind which a copy of them arrived.
+    SurplusCopy,
+    /// Answers behind which other bytes arrived, so that they were not forwarded.
+    SurplusOther,
+    /// Connections on which bytes arrived after the answer before them had been forwarded.
+    SurplusLate,
 }
 
 impl Count {
+    /// The counter of what arrived behind an answer, if anything did.
+    pub fn of_surplus(kind: SurplusKind) -> Option<Count> {
+        match kind {
+            SurplusKind::None => None,
+            SurplusKind::Copy => Some(Count::SurplusCopy),
+            SurplusKind::Partial | SurplusKind::Other => Some(Count::SurplusOther),
+        }
+    }
+
     /// The name of the counter in a line. Names are stable, because tools add the counters up.
     pub fn name(self) -> &'static str {
         match self {
@@ -70,6 +86,9 @@
             Count::PeerPacket => "peer-packets",
             Count::PeerPacketDropped => "peer-dropped",
             Count::PeerPacketSent => "peer-sent",
+            Count::SurplusCopy => "surplus-copy",
+            Count::SurplusOther => "surplus-other",
+            Count::SurplusLate => "surplus-late",
         }
     }
 }
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -1,5 +1,6 @@
 //! Attempts and probes: sends a request to a server and turns the answer into an outcome.
 
+use super::answer_end::AnswerEnd;
 use super::attempt::{AttemptOwner, AttemptResult, Call, Progress, Served, ServedBody, Stage};
 use super::body::{AnswerError, BODY_MAX, BUFFERED_ANSWER_MAX, STREAMING_MEMORY_MAX};
 use super::framing::framing;
@@ -15,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use ryelead::Outcome;
+use ryelead::{Outcome, ServerId};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -101,8 +102,9 @@
             progress.set(Stage::Sent);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
-            let answer =
-                self.exchange(&mut lease, permit, build_request(call, server_endpoint.address, until)).await;
+            let end = self.answer_end(server_endpoint.server, &view);
+            let request = build_request(call, server_endpoint.address, until);
+            let answer = self.exchange(&mut lease, permit, request, &end).await;
             let (written, min_bytes) = (view.written() - before, call.min_bytes());
             let upload = call.upload.as_ref();
             if upload.is_some_and(|upload| upload.is_aborted()) {
@@ -130,7 +132,7 @@
                     progress.set(Stage::Streaming);
                     let began = Some(Instant::now());
                     view.limit_reads(STREAMED_READ_MAX);
-                    let (streaming, stream_end) = StreamedAnswer::new(first, rest, lease, reservations);
+                    let (streaming, stream_end) = StreamedAnswer::new(first, rest, lease, end, reservations);
                     let body = ServedBody::Stream(Box::new(streaming));
                     let outcome = if !owner.start_answer(Served { body, content_type }) {
                         Outcome::Cancelled
@@ -169,6 +171,7 @@
         lease: &mut Lease,
         permit: AttemptPermit,
         mut request: Request<RequestBody>,
+        end: &AnswerEnd,
     ) -> Result<ReceivedAnswer, AnswerError> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(AnswerError::Connection)?;
@@ -183,7 +186,7 @@
         view.arm(permit, BUFFERED_READ_MAX);
         let complete = async {
             let answer = sender.try_send_request(request).await.map_err(|_| AnswerError::Connection)?;
-            self.read(answer).await
+            self.read(answer, end).await
         };
         tokio::select! {
             biased;
@@ -193,8 +196,12 @@
         }
     }
 
+    fn answer_end(&self, server: ServerId, view: &ConnectionView) -> AnswerEnd {
+        AnswerEnd { server, view: view.clone(), metrics: self.pool.metrics().clone() }
+    }
+
     /// Reads an answer; stops early if it is to be streamed.
-    async fn read(&self, answer: Response<Incoming>) -> Result<ReceivedAnswer, AnswerError> {
+    async fn read(&self, answer: Response<Incoming>, end: &AnswerEnd) -> Result<ReceivedAnswer, AnswerError> {
         let (head, mut body) = answer.into_parts();
         let framing = framing(head.status, &head.headers).ok_or(AnswerError::Invalid)?;
         let report = head.headers.get("x-load-report").and_then(|v| self.reports.parse(v.as_bytes()));
@@ -234,7 +241,13 @@
             None => timeout(BUFFER_TIMEOUT, complete).await.unwrap_or(Ok(false))?,
         };
         let first = first.freeze();
+        // The raw bytes of a body without a stated length differ from its contents.
+        let sent_body = framing.map_or(&[][..], |_| &first);
         match (complete, outcome) {
+            (true, Outcome::Success | Outcome::Rejected) if !end.is_whole_after_grace(sent_body).await => {
+                Err(AnswerError::InDoubt)
+            }
+            (true, Outcome::ServerError) if !end.is_whole(sent_body).await => Err(AnswerError::InDoubt),
             (true, _) => {
                 let served = (outcome == Outcome::Success)
                     .then_some(Served { body: ServedBody::Complete(first, reservation), content_type });
--- a/agent/src/upstream/body.rs
+++ b/agent/src/upstream/body.rs
@@ -17,4 +17,7 @@
     /// The answer is incomplete or invalid.
     #[error("the server's answer is incomplete or invalid")]
     Invalid,
+    /// Bytes that may belong to it have arrived behind its end.
+    #[error("the server's answer is followed by more bytes")]
+    InDoubt,
 }
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -2,6 +2,7 @@
 
 use super::idle_limit::IdleLimit;
 use super::upload::RequestBody;
+use crate::answer_scanner::{HEADERS_MAX, HEAD_MAX};
 use crate::metered_stream::{ConnectionView, Gauge, MeteredStream};
 use crate::metrics::{Count, Metrics};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -20,10 +21,6 @@
 const IDLE_FRACTION: f64 = 0.8;
 /// How long hyper may take to make a connection ready again after its answer has been read.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum size of the head of an answer, and number of its header lines. With hyper's defaults a few hundred
-/// endless heads would fill the memory.
-const HEAD_MAX: usize = 16 * 1024;
-const HEADERS_MAX: usize = 64;
 
 /// A server's address and generation. Connections to an earlier generation are not used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +82,9 @@
     task: AbortHandle,
     /// How long it had been idle; `None` for a new connection.
     idle_time: Option<Duration>,
+    /// hyper drops a connection with its answer if the server says that it closes it. What has arrived behind
+    /// the answer can be read all the same.
+    _socket: Option<Rc<TcpStream>>,
 }
 
 impl Lease {
@@ -161,7 +161,8 @@
     pub async fn lease(&self, server_endpoint: ServerEndpoint) -> Result<Lease, Outcome> {
         if let Some(idle) = self.take_idle(server_endpoint) {
             let IdleConnection { sender, view, task, since, .. } = idle;
-            return Ok(Lease { sender: Some(sender), view, task, idle_time: Some(since.elapsed()) });
+            let (idle_time, _socket) = (Some(since.elapsed()), view.keep_open());
+            return Ok(Lease { sender: Some(sender), view, task, idle_time, _socket });
         }
         if self.open.count() >= self.open_max.get() && !self.close_least_recent() {
             return Err(Outcome::NotSent);
@@ -174,7 +175,7 @@
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        let (wire, view) = MeteredStream::new(stream, ticket);
+        let (wire, view) = MeteredStream::of_server(stream, ticket);
         let mut builder = Builder::new();
         builder.max_buf_size(HEAD_MAX).max_headers(HEADERS_MAX);
         let Ok((sender, connection)) = builder.handshake(wire).await else {
@@ -183,7 +184,8 @@
         let task = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Lease { sender: Some(sender), view, task: task.abort_handle(), idle_time: None })
+        let _socket = view.keep_open();
+        Ok(Lease { sender: Some(sender), view, task: task.abort_handle(), idle_time: None, _socket })
     }
 
     fn take_idle(&self, server_endpoint: ServerEndpoint) -> Option<IdleConnection> {
@@ -206,8 +208,13 @@
         }
     }
 
-    /// Keeps a connection for the next request, unless more are open than allowed.
+    /// Keeps a connection for the next request, unless more are open than allowed or bytes have arrived behind
+    /// its last answer.
     pub fn give_back(&self, server_endpoint: ServerEndpoint, mut lease: Lease) {
+        if lease.view.surplus_bytes() > 0 {
+            self.metrics.count(Count::Retired);
+            return;
+        }
         let Some(sender) = lease.sender.take() else { return };
         let (view, task) = (lease.view.clone(), lease.task.clone());
         let idle = IdleConnection {
@@ -225,6 +232,9 @@
     }
 
     fn close(&self, idle: &IdleConnection) {
+        if idle.view.surplus_bytes() > 0 {
+            self.metrics.count(Count::SurplusLate);
+        }
         self.metrics.count(Count::Retired);
         idle.task.abort();
     }
--- a/agent/src/upstream/streaming.rs
+++ b/agent/src/upstream/streaming.rs
@@ -4,6 +4,7 @@
 //! the bytes that arrived before the answer was known to be long ([`super::body::BUFFERED_ANSWER_MAX`] at
 //! most). A client that does not read slows the server down by TCP flow control.
 
+use super::answer_end::AnswerEnd;
 use super::body::{AnswerError, BODY_MAX};
 use super::pool::Lease;
 use crate::memory_budget::MemoryReservation;
@@ -40,10 +41,21 @@
     /// `None` once the end has been reported. If it is dropped before that, the client has disconnected, and
     /// the connection to the server is closed.
     end: Option<(Lease, oneshot::Sender<StreamEnd>)>,
+    /// Decides whether the answer is whole, once its last byte has been read.
+    check: Option<AnswerEnd>,
+    /// The end of the answer, held back until that is decided: the client must be able to tell an answer that
+    /// isn't whole.
+    held: Option<HeldEnd>,
     /// The memory for the bytes that have been read already, and for the rest.
     _reservations: (Option<MemoryReservation>, MemoryReservation),
 }
 
+/// The last bytes of an answer, if any are left, and whether it turns out to be whole.
+struct HeldEnd {
+    last: Option<Bytes>,
+    is_whole: Pin<Box<dyn Future<Output = bool>>>,
+}
+
 impl StreamedAnswer {
     /// Creates the body from the bytes read so far and the rest. The receiver gets the end of the answer, or
     /// nothing if the client disconnects first.
@@ -51,6 +63,7 @@
         first: Bytes,
         body: Incoming,
         lease: Lease,
+        check: AnswerEnd,
         reservations: (Option<MemoryReservation>, MemoryReservation),
     ) -> (StreamedAnswer, oneshot::Receiver<StreamEnd>) {
         let (end_sender, end) = oneshot::channel();
@@ -65,12 +78,22 @@
                 stall,
                 client_waits: false,
                 end: Some((lease, end_sender)),
+                check: Some(check),
+                held: None,
                 _reservations: reservations,
             },
             end,
         )
     }
 
+    /// Holds back the end of the answer; returns false if it has been forwarded already.
+    fn hold_end(&mut self, last: Option<Bytes>) -> bool {
+        let Some(check) = self.check.take() else { return false };
+        let is_whole = Box::pin(async move { check.is_whole(&[]).await });
+        self.held = Some(HeldEnd { last, is_whole });
+        true
+    }
+
     fn end(&mut self, complete: bool) {
         if let Some((lease, end_sender)) = self.end.take() {
             let _ = end_sender.send(if complete { StreamEnd::Complete(lease) } else { StreamEnd::Broken });
@@ -95,6 +118,15 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         loop {
+            if let Some(held) = &mut self.held {
+                let is_whole = ready!(held.is_whole.as_mut().poll(cx));
+                let last = self.held.take().and_then(|held| held.last);
+                if !is_whole {
+                    return self.fail();
+                }
+                self.end(true);
+                return Poll::Ready(last.map(|data| Ok(Frame::data(data))));
+            }
             let Poll::Ready(next) = Pin::new(&mut self.body).poll_frame(cx) else {
                 // The time limit for the server runs only while the client waits.
                 if !std::mem::replace(&mut self.client_waits, true) {
@@ -105,10 +137,8 @@
             };
             self.client_waits = false;
             match next {
-                None => {
-                    self.end(true);
-                    return Poll::Ready(None);
-                }
+                None if self.hold_end(None) => {}
+                None => return Poll::Ready(None),
                 Some(Err(_)) => return self.fail(),
                 // Trailers are not forwarded: clients do not use them.
                 Some(Ok(frame)) => {
@@ -120,10 +150,10 @@
                     // A slice would keep the whole buffer that it was read into.
                     let data = Bytes::copy_from_slice(&data);
                     // hyper does not poll again after the last byte of a stated length.
-                    if self.body.is_end_stream() {
-                        self.end(true);
+                    if !self.body.is_end_stream() {
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
-                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                    self.hold_end(Some(data));
                 }
             }
         }
