An answer that is followed by anything but a copy of itself is not served

Callers saw: a 200 that ends in the middle of its body; its stated length is too short and the rest arrives behind it. Cause: an answer counted as whole as soon as its stated length had been read. What stood behind it was looked at only when its connection was to be used again, after the answer had been forwarded. The same for rejections ("never ran", so that an unsafe request was sent again), errors, probes, load reports and chunks that end early. Fix: before an answer counts, `AnswerEnd` looks at what follows it, in the kernel too. A copy begins with the same head, so that the length before it was right: the answer is served. Anything else may be the rest of the body: the attempt fails and may have run. The last bytes of a streamed answer are held back until then. An empty answer waits 2 ms, since heads are often written alone; half of a copy is waited for, 20 ms at most.

--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -92,14 +92,14 @@
     /// the end of an answer: it would close the connection before they have been examined.
     fn record_read(&self, bytes: &[u8]) -> io::Result<usize> {
         self.received.set(self.received.get() + bytes.len() as u64);
-        if let Some(left) = self.read_limit.get() {
-            let left = left.checked_sub(bytes.len() as u64).ok_or(io::ErrorKind::FileTooLarge)?;
-            self.read_limit.set(Some(left));
-        }
         if let Some(head) = &self.head {
             head.borrow_mut().feed(bytes);
         }
         let passed = self.answer.as_ref().map_or(bytes.len(), |answer| answer.borrow_mut().feed(bytes));
+        if let Some(left) = self.read_limit.get() {
+            let left = left.checked_sub(bytes.len() as u64).ok_or(io::ErrorKind::FileTooLarge)?;
+            self.read_limit.set(Some(left));
+        }
         self.data_arrived.notify_one();
         Ok(passed)
     }
--- a/agent/src/upstream/answer_end.rs
+++ b/agent/src/upstream/answer_end.rs
@@ -57,8 +57,7 @@
         if let Some(count) = Count::of_surplus(kind) {
             self.report(kind, count);
         }
-        // Observed only: every answer is forwarded as before.
-        true
+        matches!(kind, SurplusKind::None | SurplusKind::Copy)
     }
 
     fn report(&self, kind: SurplusKind, count: Count) {
--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -224,3 +224,89 @@
     }
     assert_eq!(LocalSet::new().run_until(attempt(address, 9, true)).await, Outcome::ConnectFailed);
 }
+
+/// Reads a request and writes these parts of an answer, a millisecond of the runtime's clock apart.
+async fn answer_in_parts(listener: TcpListener, request_bytes: usize, parts: &[&str]) {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let mut seen = 0;
+    while seen < request_bytes {
+        seen += stream.read(&mut [0; 4096]).await.unwrap();
+    }
+    for part in parts {
+        stream.write_all(part.as_bytes()).await.unwrap();
+        sleep(Duration::from_millis(1)).await;
+    }
+    // The connection stays open.
+    std::future::pending::<()>().await;
+}
+
+/// The outcome of an attempt that is answered in these parts, and whether its connection is kept.
+async fn outcome_of_parts(parts: &[&str]) -> (Outcome, bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let backends = backends();
+    let request_bytes = post(9).min_bytes() as usize;
+    let outcome = LocalSet::new()
+        .run_until(async {
+            tokio::select! {
+                outcome = attempt_of(&backends, address, 9, true) => outcome,
+                () = answer_in_parts(listener, request_bytes, parts) => unreachable!("it never ends"),
+            }
+        })
+        .await;
+    (outcome, backends.pool.levels().1 == 1)
+}
+
+/// A head is often written on its own: if it states a length of 0, its body comes in a later segment.
+#[tokio::test(start_paused = true)]
+async fn a_body_just_behind_an_empty_answer_leaves_it_in_doubt() {
+    for head in ["HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 X\r\nX-Rejected: 1\r\n"] {
+        let head = format!("{head}Content-Length: 0\r\n\r\n");
+        assert_eq!(outcome_of_parts(&[&head, "b"]).await, (Outcome::ConnectionReset, false), "{head}");
+        assert!(outcome_of_parts(&[&head]).await.1, "{head}: the connection is kept without a surplus");
+    }
+}
+
+/// A copy whose head arrives in pieces must not be taken for the rest of a body, and a piece of a head that
+/// stays alone must not be taken for a copy.
+#[tokio::test(start_paused = true)]
+async fn the_rest_of_a_copy_is_waited_for() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    for cut in 1..answer.len() {
+        let (begun, rest) = answer.split_at(cut);
+        let begun = format!("{answer}{begun}");
+        assert_eq!(outcome_of_parts(&[&begun, rest]).await, (Outcome::Success, false), "{begun}");
+    }
+    let begun = format!("{answer}HTTP/1.1 200 OK");
+    assert_eq!(outcome_of_parts(&[&begun]).await, (Outcome::ConnectionReset, false));
+    assert_eq!(outcome_of_parts(&[&begun, " or not"]).await, (Outcome::ConnectionReset, false));
+}
+
+/// A load report whose last digits were cut off is readable, and wrong.
+#[tokio::test]
+async fn the_load_report_of_an_answer_in_doubt_is_ignored() {
+    for body in ["queue=45", "queue=4"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server_endpoint = ServerEndpoint { server: ServerId(0), address, generation: 0 };
+        let second = Duration::from_secs(1);
+        let backends = backends_with(Pool::new(4, second, second), &["queue"]);
+        let answer = format!("HTTP/1.1 200 OK\r\nX-Load-Report: queue=4\r\nContent-Length: 7\r\n\r\n{body}");
+        let parts = [answer.as_str()];
+        let ended = LocalSet::new()
+            .run_until(async {
+                tokio::select! {
+                    ended = backends.probe(server_endpoint) => ended,
+                    () = answer_in_parts(listener, 1, &parts) => unreachable!("it never ends"),
+                }
+            })
+            .await;
+        let expected = if body.len() == 7 {
+            (Outcome::Success, Some(vec![4.0]))
+        } else {
+            (Outcome::ConnectionReset, None)
+        };
+        assert_eq!((ended.outcome, ended.report), expected, "{body}");
+    }
+}
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -15,5 +15,6 @@
 mod outcomes;
 mod reload;
 mod stopping;
+mod surplus;
 mod system_faults;
 mod uploads;
