A chunked request that is followed by more bytes is rejected, like one with a length

Callers saw: a client whose chunks end early (an empty chunk in the middle of a body ends it there) had the first part of its body executed and got a 200. Cause: `check_no_excess` compared what had come with the stated length only; a chunked request has none, so nothing behind its end was noticed. Fix: `HeadScanner` follows the chunks to their end, by the scanner that the answers use (moved to chunk_scanner.rs), and the check compares with that.

--- a/agent/src/answer_scanner.rs
+++ b/agent/src/answer_scanner.rs
@@ -3,11 +3,10 @@
 //! hyper stops at the same end, but doesn't tell what has come behind it. The framing is read here only to
 //! find that end: hyper still parses the answer and rejects a malformed one.
 
-mod chunked;
 mod surplus;
 
-use self::chunked::ChunkScanner;
 pub use self::surplus::{Surplus, SurplusKind, SURPLUS_MAX};
+use crate::chunk_scanner::ChunkScanner;
 
 /// Maximum size of the head of an answer in bytes. hyper gets the same limit; with its default a few hundred
 /// endless heads would fill the memory.
--- a/agent/src/answer_scanner/chunked.rs
+++ b/agent/src/chunk_scanner.rs
@@ -1,4 +1,4 @@
-//! Finds the end of a chunked body.
+//! Finds the end of a chunked body in its raw bytes.
 
 /// What the next byte of a chunked body belongs to.
 #[derive(Clone, Copy)]
@@ -18,6 +18,7 @@
 }
 
 /// Follows a chunked body. A malformed one is followed as far as possible; hyper rejects it.
+#[derive(Clone)]
 pub struct ChunkScanner {
     part: Part,
 }
--- a/agent/src/frontend/http/validation.rs
+++ b/agent/src/frontend/http/validation.rs
@@ -116,9 +116,10 @@
 }
 
 /// Rejects a request that is followed by more bytes. Clients send one request at a time, so its length was
-/// wrong or it hides another request.
+/// wrong, its chunks end early or it hides another request. `bytes` is its length, if the head states it.
 pub fn check_no_excess(slot: &ConnectionSlot, bytes: Option<u64>) -> Result<(), Rejection> {
-    if bytes.is_some_and(|bytes| slot.view().head().bytes_received() > bytes) {
+    let received = slot.view().head();
+    if bytes.or_else(|| received.chunked_len()).is_some_and(|bytes| received.bytes_received() > bytes) {
         return Err(bad_request("more has come than the request"));
     }
     Ok(())
--- a/agent/src/head.rs
+++ b/agent/src/head.rs
@@ -1,6 +1,9 @@
 //! Scans the raw bytes of a request head for the headers that state the body length. hyper drops
 //! `Content-Length` if `Transfer-Encoding` is present too, in either order, and so hides that both were there
-//! and that the body may hide another request.
+//! and that the body may hide another request. Follows a chunked body to its end, too: hyper doesn't tell what
+//! has come behind it.
+
+use crate::chunk_scanner::ChunkScanner;
 
 /// Longer than the header names that are searched for.
 const NAME_MAX: usize = 20;
@@ -20,15 +23,26 @@
     name_len: usize,
     in_name: bool,
     line_has_text: bool,
+    chunks: ChunkScanner,
+    /// Bytes of the chunked body.
+    chunk_bytes: u64,
 }
 
 impl HeadScanner {
-    /// Takes in the next bytes; those after the end of the head are only counted.
+    /// Takes in the next bytes; those of a body that isn't chunked are only counted.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.bytes_received += bytes.len() as u64;
-        for &byte in bytes {
+        let head_bytes = self.feed_head(bytes);
+        if self.encodings > 0 {
+            self.chunk_bytes += self.chunks.feed(&bytes[head_bytes..]) as u64;
+        }
+    }
+
+    /// Takes in bytes up to the end of the head; returns their number.
+    fn feed_head(&mut self, bytes: &[u8]) -> usize {
+        for (index, &byte) in bytes.iter().enumerate() {
             if self.ended {
-                return;
+                return index;
             }
             self.bytes += 1;
             match byte {
@@ -55,6 +69,7 @@
                 }
             }
         }
+        bytes.len()
     }
 
     fn end_line(&mut self) {
@@ -72,6 +87,11 @@
         self.ended.then_some(self.bytes)
     }
 
+    /// The length of a chunked request in bytes, head included, once its end has been received.
+    pub fn chunked_len(&self) -> Option<u64> {
+        (self.encodings > 0 && self.chunks.has_ended()).then_some(self.bytes + self.chunk_bytes)
+    }
+
     /// Number of bytes received in all.
     pub fn bytes_received(&self) -> u64 {
         self.bytes_received
--- a/agent/src/head/tests.rs
+++ b/agent/src/head/tests.rs
@@ -19,3 +19,17 @@
     let twice = read("GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 9);
     assert_eq!(twice.framing_counts(), (2, 0));
 }
+
+#[test]
+fn the_end_of_a_chunked_request_is_found_in_any_chunking() {
+    let head = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let whole = format!("{head}4;a=b\r\nbody\r\n0\r\nX: y\r\n\r\n");
+    for step in 1..=whole.len() {
+        assert_eq!(read(&whole[..whole.len() - 1], step).chunked_len(), None, "{step}");
+        assert_eq!(read(&whole, step).chunked_len(), Some(whole.len() as u64), "{step}");
+        let more = read(&format!("{whole}more"), step);
+        assert_eq!(more.chunked_len(), Some(whole.len() as u64), "{step}");
+        assert_eq!(more.bytes_received(), whole.len() as u64 + 4, "{step}");
+    }
+    assert_eq!(read("POST /x HTTP/1.1\r\nContent-Length: 1\r\n\r\n0\r\n\r\n", 9).chunked_len(), None);
+}
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod admin_client;
 mod agent;
 mod answer_scanner;
+mod chunk_scanner;
 mod clients;
 mod clock;
 mod config;
--- a/agent/tests/loopback/clients.rs
+++ b/agent/tests/loopback/clients.rs
@@ -46,6 +46,35 @@
     );
 }
 
+/// The agent reads this many bytes at once.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Guards against serving the first part of a request as the whole: bytes behind it that don't come with the
+/// same read show just as well that its length was wrong.
+#[test]
+fn excess_bytes_beyond_one_read_are_found() {
+    let head = request("once", 9000).replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 7000\r\n");
+    let padding = READ_BYTES - 7000 - head.len() - "X-Pad: \r\n\r\n".len();
+    let stated = format!("{head}X-Pad: {}\r\n\r\n{}", "p".repeat(padding), "b".repeat(7000));
+    assert_eq!(stated.len(), READ_BYTES);
+    for excess in ["x".to_string(), "x".repeat(5000), request("read", 9000)] {
+        expect_rejected(&format!("{} bytes", excess.len()), &(stated.clone() + &excess), 400);
+    }
+}
+
+/// Guards against serving the first part of a request whose chunks end early: a client that writes an empty
+/// chunk in the middle of a body ends it there, and the rest follows.
+#[test]
+fn a_chunked_request_with_more_behind_its_end_is_rejected() {
+    let coding = "Transfer-Encoding: chunked\r\n\r\n";
+    let chunked = request("once", 9000).replace("Content-Length: 4\r\n\r\nbody", coding);
+    for body in ["4\r\nbody\r\n0\r\n\r\n4\r\nrest\r\n0\r\n\r\n", "0\r\n\r\nbody", "4\r\nbody\r\n0\r\n\r\nx"] {
+        expect_rejected(body, &format!("{chunked}{body}"), 400);
+    }
+    let whole = format!("{chunked}4\r\nbody\r\n0\r\n\r\n");
+    expect_rejected("two requests", &whole.repeat(2), 400);
+}
+
 /// The answer must not wait for a body of 60 MB that is discarded.
 #[test]
 fn a_length_over_the_maximum_is_rejected_by_the_head_alone() {
--- a/agent/tests/loopback/uploads.rs
+++ b/agent/tests/loopback/uploads.rs
@@ -103,6 +103,21 @@
     assert_eq!(backend.heard.all().len(), 0);
 }
 
+/// Guards against a server that executes the first part of a long request whose chunks end early.
+#[test]
+fn a_long_chunked_request_with_more_behind_its_end_is_never_executed() {
+    let backend = Backend::new(|_| ok("done"));
+    let (agent, _discovery) = Agent::with(&[&backend]);
+    let whole = chunked(&text(300_000));
+    for more in ["x", "5\r\nagain\r\n0\r\n\r\n"] {
+        let mut client = Client::to(&agent);
+        let _ = client.stream.write_all((whole.clone() + more).as_bytes());
+        assert_eq!(client.read().map(|m| m.status()), Some(400), "{more}");
+    }
+    assert_eq!(backend.heard.all().len(), 0);
+    assert_eq!(Client::to(&agent).ask(&whole).status(), 200, "it is served without them");
+}
+
 /// A request that was sent to a server that fails can't be sent to another, whatever its class allows. A
 /// server that could not be reached received nothing.
 #[test]
