A streamed answer that breaks off ends by a reset for a client that reads no chunks

Callers saw: an HTTP/1.0 client that gets a streamed answer without a stated length knows its end by the end of the connection alone. An answer that broke off ended just like a complete one. Cause: hyper closes the connection after a body error with a plain end; the missing last chunk or the missing bytes tell HTTP/1.1 clients only. Fix: `AnswerGuard` knows whether the client depends on the end of the connection, and has it reset if the body fails. HTTP/1.1 clients see what they saw before.

--- a/agent/src/frontend/http/answer_body.rs
+++ b/agent/src/frontend/http/answer_body.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 /// The body of an answer.
 pub enum AnswerBody {
@@ -27,10 +27,14 @@
     }
 
     /// Records that the request has its answer. The connection closes after it if `closes` is set.
-    pub fn begin(&mut self, slot: &Rc<ConnectionSlot>, closes: bool) {
+    /// `knows_chunks` tells whether the client can read a chunked answer.
+    pub fn begin(&mut self, slot: &Rc<ConnectionSlot>, closes: bool, knows_chunks: bool) {
         match self {
             AnswerBody::Buffered { .. } => slot.on_answered(closes),
-            AnswerBody::Streamed(_, guard) => *guard = Some(AnswerGuard { slot: Rc::clone(slot), closes }),
+            AnswerBody::Streamed(body, guard) => {
+                let ends_with_connection = !knows_chunks && body.size_hint().exact().is_none();
+                *guard = Some(AnswerGuard { slot: Rc::clone(slot), closes, ends_with_connection });
+            }
         }
     }
 }
@@ -50,6 +54,17 @@
 pub struct AnswerGuard {
     slot: Rc<ConnectionSlot>,
     closes: bool,
+    /// The client knows the end of the answer by the end of its connection alone.
+    ends_with_connection: bool,
+}
+
+impl AnswerGuard {
+    /// Makes an answer that broke off distinguishable from a complete one: its connection ends with a reset.
+    fn break_off(&self) {
+        if self.ends_with_connection {
+            self.slot.view().discard_unsent();
+        }
+    }
 }
 
 impl Drop for AnswerGuard {
@@ -70,7 +85,13 @@
             AnswerBody::Buffered { body, .. } => {
                 Pin::new(body).poll_frame(cx).map_err(|never| match never {})
             }
-            AnswerBody::Streamed(body, _) => Pin::new(body).poll_frame(cx),
+            AnswerBody::Streamed(body, guard) => {
+                let frame = ready!(Pin::new(body).poll_frame(cx));
+                if let (Some(Err(_)), Some(guard)) = (&frame, guard) {
+                    guard.break_off();
+                }
+                Poll::Ready(frame)
+            }
         }
     }
 
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use ryelead::{RequestId, Span};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -201,6 +201,7 @@
             let (server, slot) = (Rc::clone(self), Rc::clone(slot));
             async move {
                 slot.on_head_complete();
+                let knows_chunks = request.version() >= Version::HTTP_11;
                 let mut answer = server.handle(&slot, request).await;
                 // Idle connections of clients that send a single request would use up the connections that
                 // all clients share.
@@ -210,7 +211,7 @@
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 let closes = answer.headers().contains_key(CONNECTION);
-                answer.body_mut().begin(&slot, closes);
+                answer.body_mut().begin(&slot, closes, knows_chunks);
                 Ok::<_, Infallible>(answer)
             }
         });
--- a/agent/tests/loopback/surplus.rs
+++ b/agent/tests/loopback/surplus.rs
@@ -142,6 +142,18 @@
     }
 }
 
+/// An HTTP/1.0 client knows the end of an answer without a stated length by the end of its connection alone.
+#[test]
+fn a_streamed_answer_in_doubt_ends_by_a_reset_for_an_http_1_0_client() {
+    let length = 2 * BUFFERED_BYTES;
+    let chunk = format!("{length:x}\r\n{}\r\n0\r\n\r\n", text(length));
+    let chunked = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}");
+    let request = request("read", 9000).replace("HTTP/1.1", "HTTP/1.0");
+    assert_eq!(streamed(chunked.clone(), &request), (length, true), "it is served without a surplus");
+    let (bytes, whole) = streamed(chunked + "x", &request);
+    assert!(!whole, "{bytes} bytes and a plain end");
+}
+
 /// A surplus that arrives after the answer has been forwarded can't be known in time. Its connection ends, and
 /// the next request is not affected.
 #[test]
