Tests of the paths beside answers in doubt: lists with a wrong length, repeated requests

Change: the discovery stand-in states half of a list's length (`short-length`) or adds noise behind it (`surplus`). A list is one JSON object, and no part of one can be read: the first is fetched again, the second is accepted. A request whose first two answers are in doubt gets the third one's.

--- a/agent/tests/loopback/drains.rs
+++ b/agent/tests/loopback/drains.rs
@@ -132,11 +132,26 @@
     }
 }
 
+/// Guards against taking the first part of a list for the whole. A list is one JSON object, and no part of one
+/// can be read.
+#[test]
+fn a_drain_is_fetched_again_when_the_length_of_its_answer_is_too_short() {
+    drain_with_spoilt_answers("on_request", &[Spoil::ShortLength]);
+    drain_with_spoilt_answers("pushed", &[Spoil::ShortLength, Spoil::ShortLength]);
+}
+
 #[test]
 fn an_indented_list_is_accepted() {
     drain_with_spoilt_answers("on_request", &[Spoil::Indented]);
 }
 
+/// A complete JSON object is the whole list, whatever follows it.
+#[test]
+fn a_list_with_noise_behind_it_is_accepted() {
+    drain_with_spoilt_answers("on_request", &[Spoil::Surplus]);
+    drain_with_spoilt_answers("pushed", &[Spoil::Surplus, Spoil::Surplus]);
+}
+
 /// Otherwise a delayed older answer would make a draining server look as if it were serving.
 #[test]
 fn an_older_list_does_not_replace_a_newer_one() {
--- a/agent/tests/loopback/surplus.rs
+++ b/agent/tests/loopback/surplus.rs
@@ -4,7 +4,10 @@
 use crate::outcomes::outcome;
 use dilljunction_lab::standins::booking::Act;
 use dilljunction_lab::standins::hand::*;
+use dilljunction_lab::standins::http::Message;
 use std::io::Read;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 
 /// The agent reads this many bytes at once.
 const READ_BYTES: usize = 8 * 1024;
@@ -187,3 +190,21 @@
         assert_eq!(client.read().map(|m| m.status()), Some(502), "{status}");
     }
 }
+
+/// A request whose first two answers are in doubt gets the third one's.
+#[test]
+fn a_repeated_request_gets_the_answer_that_is_not_in_doubt() {
+    let (seen, in_doubt) = (Arc::new(AtomicUsize::new(0)), stating(2, "wrong"));
+    let script = move |_: &Message| match seen.fetch_add(1, Ordering::SeqCst) {
+        0 | 1 => Act::Answer(in_doubt.clone()),
+        _ => ok("right"),
+    };
+    let backends = [Backend::new(script.clone()), Backend::new(script.clone()), Backend::new(script)];
+    let lines: Vec<String> =
+        backends.iter().enumerate().map(|(i, b)| serving(&format!("s{i}"), b.address)).collect();
+    let discovery = Discovery::new(lines.join(","));
+    let agent = Agent::start(&config(discovery.address, &lines.join(","), SETTINGS, 1024));
+    let answer = Client::to(&agent).ask(&request("read", 9000));
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"right"[..]));
+    assert_eq!(backends.iter().map(|b| b.heard.all().len()).sum::<usize>(), 3);
+}
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -151,6 +151,10 @@
     Endless,
     /// Its braces are gone.
     Garbled,
+    /// Its head states half of its length, and all of it follows.
+    ShortLength,
+    /// Noise follows it.
+    Surplus,
     /// It is whole and sound, and each part of it stands on a line of its own.
     Indented,
     /// It tells the list as it stood when this was last asked for by [`View::remember`], whole, with its version of then.
@@ -358,6 +362,13 @@
             (Some(Spoil::Garbled), _) => {
                 (format!("{head}\r\n\r\n{}", body.replace('{', "?")), told, End::None)
             }
+            (Some(Spoil::ShortLength), _) => {
+                let (whole, half) = (body.len(), body.len() / 2);
+                let head =
+                    head.replace(&format!("Content-Length: {whole}"), &format!("Content-Length: {half}"));
+                (format!("{head}\r\n\r\n{body}"), told, End::None)
+            }
+            (Some(Spoil::Surplus), _) => (format!("{text}noise"), told, End::None),
             (Some(Spoil::Indented), _) => {
                 let lines = body.replace(",\"", ",\n    \"").replace('{', "{\n    ");
                 (answer(200, "Content-Type: application/json\r\n", &lines), told, End::None)
