A copy is not served as part of a body that ends with its connection

Callers saw: an answer without a stated length, followed by a second copy of itself, was served with that copy as part of its body. Cause: all bytes up to the close belong to such a body by its framing, so that nothing lay behind its end. Fix: a buffered body that contains the head of its own answer is in doubt, and fails its attempt. Noise in it can't be told from it.

--- a/agent/src/answer_scanner.rs
+++ b/agent/src/answer_scanner.rs
@@ -26,8 +26,10 @@
     Length(u64),
     /// A chunked body.
     Chunked(ChunkScanner),
-    /// An answer whose end can't be found: it ends with the connection, or hyper rejects it.
-    Unbounded,
+    /// A body that ends with the connection.
+    UntilClose,
+    /// An answer whose end can't be found; hyper rejects it.
+    Malformed,
     /// Nothing: the answer is complete.
     Ended,
 }
@@ -59,7 +61,7 @@
         while used < bytes.len() {
             let rest = &bytes[used..];
             used += match &mut self.position {
-                Position::Idle | Position::Unbounded => rest.len(),
+                Position::Idle | Position::UntilClose | Position::Malformed => rest.len(),
                 Position::Head => self.feed_head(rest),
                 Position::Length(left) => {
                     self.has_body = true;
@@ -95,7 +97,16 @@
     /// The kind of what has been read behind the end of the answer; `body` is the body of the answer as it
     /// was sent, or empty if that isn't known.
     pub fn surplus_kind(&self, body: &[u8]) -> SurplusKind {
-        self.surplus.kind(&self.head, body)
+        match self.position {
+            // Whatever has come belongs to this body, but no server puts the head of an answer into it.
+            Position::UntilClose if self.is_repeated_in(body) => SurplusKind::Other,
+            _ => self.surplus.kind(&self.head, body),
+        }
+    }
+
+    /// Whether a body contains the head of its answer.
+    fn is_repeated_in(&self, body: &[u8]) -> bool {
+        body.windows(self.head.len().max(1)).any(|part| part == self.head)
     }
 
     /// Whether the end of the answer has been read.
@@ -125,7 +136,7 @@
                 }
             }
             if self.head.len() >= HEAD_MAX {
-                self.position = Position::Unbounded;
+                self.position = Position::Malformed;
                 return index + 1;
             }
         }
@@ -140,10 +151,10 @@
     match answer.parse(head) {
         Ok(httparse::Status::Partial) => return None,
         Ok(httparse::Status::Complete(_)) => {}
-        Err(_) => return Some(Position::Unbounded),
+        Err(_) => return Some(Position::Malformed),
     }
     Some(match answer.code {
-        Some(101) | None => Position::Unbounded,
+        Some(101) | None => Position::Malformed,
         Some(100..=199) => Position::Head,
         Some(204 | 304) => Position::Ended,
         Some(_) => position_of_body(answer.headers),
@@ -162,13 +173,14 @@
             match length {
                 Some(0) => Position::Ended,
                 Some(length) => Position::Length(length),
-                None => Position::Unbounded,
+                None => Position::Malformed,
             }
         }
         ((None, _), (Some(coding), None)) if coding.eq_ignore_ascii_case(b"chunked") => {
             Position::Chunked(ChunkScanner::default())
         }
-        _ => Position::Unbounded,
+        ((None, _), (None, _)) => Position::UntilClose,
+        _ => Position::Malformed,
     }
 }
 
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -14,7 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::{Outcome, ServerId};
 use std::net::SocketAddr;
@@ -241,8 +241,8 @@
             None => timeout(BUFFER_TIMEOUT, complete).await.unwrap_or(Ok(false))?,
         };
         let first = first.freeze();
-        // The raw bytes of a body without a stated length differ from its contents.
-        let sent_body = framing.map_or(&[][..], |_| &first);
+        // The raw bytes of a chunked body differ from its contents.
+        let sent_body = if head.headers.contains_key(TRANSFER_ENCODING) { &[][..] } else { &first };
         match (complete, outcome) {
             (true, Outcome::Success | Outcome::Rejected) if !end.is_whole_after_grace(sent_body).await => {
                 Err(AnswerError::InDoubt)
--- a/agent/tests/loopback/surplus.rs
+++ b/agent/tests/loopback/surplus.rs
@@ -90,6 +90,29 @@
     }
 }
 
+/// Guards against serving a body that is completed by the beginning of a copy: its length was stated too long.
+#[test]
+fn a_length_that_a_copy_completes_is_in_doubt() {
+    for missing in [1, 3, 20] {
+        expect_in_doubt(&stating(5 + missing, "first").repeat(2));
+    }
+}
+
+/// Guards against serving a second copy as part of the body, in an answer that ends with its connection.
+#[test]
+fn a_copy_behind_an_answer_without_a_length_is_not_served_with_it() {
+    for body in ["", "first", &text(5000)] {
+        let answer = format!("HTTP/1.1 200 OK\r\nX-Load-Report: qps=1,queue=2\r\n\r\n{body}");
+        for (act, once, read) in
+            [(answer.clone(), (200, 1), (200, 1)), (answer.repeat(2), (502, 1), (200, 2))]
+        {
+            let same = act.clone();
+            assert_eq!(outcome("once", move || Act::Last(act.clone())), once, "{body}");
+            assert_eq!(outcome("read", move || Act::Last(same.clone())), read, "{body}");
+        }
+    }
+}
+
 /// Guards against sending a request twice: an answer in doubt can't claim that the request was never executed.
 #[test]
 fn a_rejection_in_doubt_may_have_been_executed() {
