Split metered_stream.rs and the discovery stand-in, which had grown over their jobs

Change: metered_stream/{gauge,socket,view}.rs; discovery/spoil.rs, where a spoilt answer is a function of the sound one, and discovery/tests.rs. Code moved, no assertion and no behavior changed.

--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -1,29 +1,30 @@
 //! A TCP stream for hyper that also provides what hyper hides: the number of bytes read and written, whether
 //! the peer has closed, and how the head of a request states the body length.
 
-use crate::answer_scanner::{AnswerScanner, SurplusKind, SURPLUS_MAX};
+mod gauge;
+mod socket;
+mod view;
+
+pub use self::gauge::Gauge;
+use self::gauge::Ticket;
+use self::socket::{is_quiet, is_retryable};
+pub use self::view::ConnectionView;
+use crate::answer_scanner::AnswerScanner;
 use crate::head::HeadScanner;
 use crate::permits::attempt::AttemptPermit;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
-use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep, Instant};
+use tokio::time::Instant;
 
 /// Maximum number of bytes per read; most messages are shorter.
 const READ_MAX: usize = 8 * 1024;
 
-/// Interval of the check whether a peer has closed after sending bytes that nobody reads. Without such bytes
-/// the close itself wakes the waiting task. A client counts as disconnected 100 ms after its close.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Size of the kernel's send buffer for answers to clients. Clients are on the same machine and lose nothing
 /// by it; with a buffer that grows to megabytes, a slow reader would look for many seconds like one that
 /// reads nothing.
@@ -34,32 +35,6 @@
     static READ_BUFFER: RefCell<[u8; READ_MAX]> = const { RefCell::new([0; READ_MAX]) };
 }
 
-/// Counts the open connections of one side.
-#[derive(Clone, Default)]
-pub struct Gauge(Rc<Cell<usize>>);
-
-impl Gauge {
-    /// Number of open connections.
-    pub fn count(&self) -> usize {
-        self.0.get()
-    }
-
-    /// Counts one more connection until the ticket is dropped.
-    pub fn enter(&self) -> Ticket {
-        self.0.set(self.0.get() + 1);
-        Ticket(self.clone())
-    }
-}
-
-/// One open connection in a [`Gauge`].
-pub struct Ticket(Gauge);
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.0 .0.set(self.0.count().saturating_sub(1));
-    }
-}
-
 /// Conditions for the first byte of a request.
 struct Armed {
     /// Bytes received before; no more may arrive until the first byte is written.
@@ -110,177 +85,6 @@
     }
 }
 
-/// Gives access to the state of a connection that hyper owns. Does not keep the socket open.
-#[derive(Clone)]
-pub struct ConnectionView {
-    stream: Weak<TcpStream>,
-    state: Rc<ConnectionState>,
-}
-
-impl ConnectionView {
-    /// Number of bytes that the kernel has taken for sending.
-    pub fn written(&self) -> u64 {
-        self.state.written.get()
-    }
-
-    /// Number of bytes that have been read from the peer.
-    pub fn received(&self) -> u64 {
-        self.state.received.get()
-    }
-
-    /// Since when the peer has read nothing of the bytes that wait to be written.
-    pub fn write_stalled_since(&self) -> Option<Instant> {
-        self.state.write_stalled_since.get()
-    }
-
-    /// Waits until more has been read than at the last call.
-    pub async fn data_arrived(&self) {
-        self.state.data_arrived.notified().await;
-    }
-
-    /// The head of the current request, from its first byte.
-    pub fn head(&self) -> HeadScanner {
-        self.state.head.as_ref().map(|head| head.borrow().clone()).unwrap_or_default()
-    }
-
-    /// Starts a new request with the next byte that is read.
-    pub fn expect_head(&self) {
-        if let Some(head) = &self.state.head {
-            *head.borrow_mut() = HeadScanner::default();
-        }
-    }
-
-    /// Prepares the write of a request. Bytes that arrive before its first byte is written are no answer to
-    /// it: the connection ends and nothing is written. After it, no more than `read_limit` bytes are read.
-    /// The first byte uses up `permit`, and is not written if the permit has expired.
-    pub fn arm(&self, permit: AttemptPermit, read_limit: u64) {
-        self.state.expired.set(false);
-        self.state.armed.set(Some(Armed { received: self.received(), permit }));
-        self.state.read_limit.set(Some(read_limit));
-        if let Some(answer) = &self.state.answer {
-            answer.borrow_mut().expect_answer();
-        }
-    }
-
-    /// Whether the last request was not written because its permit had expired.
-    pub fn has_expired(&self) -> bool {
-        self.state.expired.get()
-    }
-
-    /// Limits the number of bytes read from now on to `read_limit`.
-    pub fn limit_reads(&self, read_limit: u64) {
-        self.state.read_limit.set(Some(read_limit));
-    }
-
-    /// The socket, which stays open as long as the result is kept, also if hyper drops its connection.
-    pub fn keep_open(&self) -> Option<Rc<TcpStream>> {
-        self.stream.upgrade()
-    }
-
-    /// Whether the answer that is being read is complete and its body is empty.
-    pub fn is_empty_answer(&self) -> bool {
-        self.state.answer.as_ref().is_some_and(|answer| answer.borrow().has_ended_without_body())
-    }
-
-    /// Examines what has arrived behind the end of the last answer, including bytes that the kernel still
-    /// holds. `body` is the body of that answer as it was sent, or empty if that isn't known.
-    pub fn examine_surplus(&self, body: &[u8]) -> SurplusKind {
-        let Some(answer) = &self.state.answer else { return SurplusKind::None };
-        if let Some(stream) = self.stream.upgrade().filter(|_| answer.borrow().has_ended()) {
-            self.read_surplus(&stream);
-        }
-        let kind = answer.borrow().surplus_kind(body);
-        kind
-    }
-
-    /// Reads what the kernel holds behind the end of an answer, within [`SURPLUS_MAX`]. An end or an error of
-    /// the connection is left for its next use.
-    fn read_surplus(&self, stream: &TcpStream) {
-        let socket = socket2::SockRef::from(stream);
-        while self.surplus_bytes() < SURPLUS_MAX as u64 && matches!(peek(stream), Ok(1..)) {
-            let read = READ_BUFFER.with_borrow_mut(|buffer| {
-                let n = io::Read::read(&mut &*socket, buffer)?;
-                self.state.record_read(&buffer[..n])
-            });
-            if read.is_err_and(|error| !is_retryable(&error)) {
-                return;
-            }
-        }
-    }
-
-    /// Calls `report` with the kind, the number and the first of the bytes behind the end of the last answer.
-    pub fn surplus<T>(&self, report: impl FnOnce(u64, &[u8]) -> T) -> Option<T> {
-        let answer = self.state.answer.as_ref()?.borrow();
-        Some(report(answer.surplus().bytes(), answer.surplus().kept()))
-    }
-
-    /// Number of bytes that have been read behind the end of the last answer.
-    pub fn surplus_bytes(&self) -> u64 {
-        self.state.surplus_bytes()
-    }
-
-    /// Whether an idle connection is still usable: no bytes, close or error have arrived. Asks the kernel,
-    /// since the runtime may not have polled the socket for a while.
-    pub fn is_quiet(&self) -> bool {
-        self.surplus_bytes() == 0 && self.stream.upgrade().is_some_and(|stream| is_quiet(&stream))
-    }
-
-    /// Makes a later close discard unsent bytes. After a plain close the kernel goes on delivering them for
-    /// minutes, longer than any deadline of a request or lifetime of its key.
-    pub fn discard_unsent(&self) {
-        if let Some(stream) = self.stream.upgrade() {
-            // Zero closes with a reset and discards the buffer. An error means that the socket is closed
-            // already.
-            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-        }
-    }
-
-    /// Whether the peer has not closed and the connection is not broken, as far as the kernel knows.
-    pub fn is_open(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
-        match peek(&stream) {
-            Ok(bytes) => bytes > 0,
-            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-        }
-    }
-
-    /// Waits until the peer has closed or the connection is broken, even if there are unread bytes before the
-    /// close.
-    pub async fn closed(&self) {
-        while let Some(stream) = self.stream.upgrade() {
-            match stream.ready(Interest::READABLE).await {
-                Ok(ready) if !ready.is_read_closed() => sleep(CLOSE_CHECK_INTERVAL).await,
-                _ => return,
-            }
-        }
-    }
-
-    /// Whether the peer has sent bytes that are not read yet.
-    pub fn has_unread(&self) -> bool {
-        self.stream.upgrade().is_some_and(|stream| matches!(peek(&stream), Ok(n) if n > 0))
-    }
-}
-
-/// Whether an error says nothing about the connection: no data at present, or a signal. The call is repeated
-/// when the runtime reports the socket as ready, or at once, respectively.
-fn is_retryable(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
-}
-
-/// The number of unread bytes, 1 at most; `Ok(0)` means that the peer has closed.
-fn peek(stream: &TcpStream) -> io::Result<usize> {
-    loop {
-        match socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]) {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            result => return result,
-        }
-    }
-}
-
-fn is_quiet(stream: &TcpStream) -> bool {
-    matches!(peek(stream), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// The stream that hyper owns.
 pub struct MeteredStream {
     stream: Rc<TcpStream>,
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -2,6 +2,11 @@
 //! the truth; every agent asks a [`View`] of its own, which has the addresses by which that agent reaches the servers,
 //! can fail by itself, and writes down what it has told.
 
+mod spoil;
+
+pub use self::spoil::Spoil;
+
+use self::spoil::End;
 use crate::clock::{At, Clock};
 use crate::judge::evidence::{AgentIndex, Book, ServerIndex, Told, Word};
 use crate::standins::http::{answer, Reader};
@@ -141,26 +146,6 @@
     Stale,
 }
 
-/// What is wrong with one answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Spoil {
-    /// The connection ends in the middle of it.
-    Cut,
-    /// It stops in the middle, and its connection stays open.
-    Endless,
-    /// Its braces are gone.
-    Garbled,
-    /// Its head states half of its length, and all of it follows.
-    ShortLength,
-    /// Noise follows it.
-    Surplus,
-    /// It is whole and sound, and each part of it stands on a line of its own.
-    Indented,
-    /// It tells the list as it stood when this was last asked for by [`View::remember`], whole, with its version of then.
-    Older,
-}
-
 struct Health {
     ailment: Ailment,
     stale: Option<List>,
@@ -170,16 +155,6 @@
     delay: Duration,
 }
 
-/// How an answer ends.
-enum End {
-    /// It is whole.
-    None,
-    /// With its connection.
-    Cut,
-    /// Not at all.
-    Open,
-}
-
 struct Inner {
     agent: AgentIndex,
     registry: Registry,
@@ -355,29 +330,15 @@
             let mut health = locked(&self.0.health);
             (health.spoils.pop_front(), health.remembered.clone())
         };
-        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
         match (way, older) {
-            (Some(Spoil::Cut), _) => (text[..text.len() - body.len() / 2 - 1].into(), told, End::Cut),
-            (Some(Spoil::Endless), _) => (text[..text.len() - body.len() / 2 - 1].into(), told, End::Open),
-            (Some(Spoil::Garbled), _) => {
-                (format!("{head}\r\n\r\n{}", body.replace('{', "?")), told, End::None)
-            }
-            (Some(Spoil::ShortLength), _) => {
-                let (whole, half) = (body.len(), body.len() / 2);
-                let head =
-                    head.replace(&format!("Content-Length: {whole}"), &format!("Content-Length: {half}"));
-                (format!("{head}\r\n\r\n{body}"), told, End::None)
-            }
-            (Some(Spoil::Surplus), _) => (format!("{text}noise"), told, End::None),
-            (Some(Spoil::Indented), _) => {
-                let lines = body.replace(",\"", ",\n    \"").replace('{', "{\n    ");
-                (answer(200, "Content-Type: application/json\r\n", &lines), told, End::None)
-            }
             (Some(Spoil::Older), Some(list)) => {
                 let (text, told) = self.tell(&list, &list.entries, true);
                 (text, told, End::None)
             }
-            (Some(Spoil::Older) | None, _) => (text, told, End::None),
+            (way, _) => {
+                let (text, end) = way.map_or((text.clone(), End::None), |way| way.apply(&text));
+                (text, told, end)
+            }
         }
     }
 
@@ -453,59 +414,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::AsyncReadExt;
-
-    fn entry(server: usize, word: Word) -> Entry {
-        Entry { server, uid: format!("s{server}"), building: "a".into(), word, boot_ms: 0 }
-    }
-
-    async fn ask(address: SocketAddr, path: &str) -> String {
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        stream.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).await.unwrap();
-        stream.shutdown().await.unwrap();
-        let mut text = String::new();
-        stream.read_to_string(&mut text).await.unwrap();
-        text
-    }
-
-    #[tokio::test]
-    async fn lists_and_watches_answer_as_the_protocol_words_them_and_ail_on_command() {
-        let (registry, book) = (Registry::default(), Book::default());
-        registry.set(entry(0, Word::Serving(0)));
-        registry.set(entry(1, Word::Serving(0)));
-        let endpoints =
-            HashMap::from([(0, "127.0.0.1:1".parse().unwrap()), (1, "127.0.0.1:2".parse().unwrap())]);
-        let listen = "127.0.0.1:0".parse().unwrap();
-        let view =
-            View::start(5, registry.clone(), endpoints, listen, Clock::start(), book.clone()).await.unwrap();
-        let list = "/registry/instances";
-        let whole = ask(view.address(), list).await;
-        assert_eq!(view.bytes_sent(), whole.len() as u64);
-        assert!(
-            whole.contains(r#""rev":3,"all":true"#) && whole.contains("s0") && whole.contains("s1"),
-            "{whole}"
-        );
-        let empty = ask(view.address(), &format!("{list}?from=3&hold_ms=1")).await;
-        assert!(empty.contains(r#""rev":3,"all":false,"targets":[]"#), "{empty}");
-        let address = view.address();
-        let watch = tokio::spawn(async move { ask(address, &format!("{list}?from=3&hold_ms=60000")).await });
-        view.asked().wait_for(|asked| asked.len() == 3).await.unwrap();
-        registry.set(entry(1, Word::Draining));
-        let news = watch.await.unwrap();
-        assert!(news.contains("DRAINING") && !news.contains("s0"), "{news}");
-        let told: Vec<_> = book.open().told.iter().map(|t| (t.agent, t.server, t.word)).collect();
-        assert_eq!(told[2], (5, 1, Word::Draining));
-        view.ail(Ailment::Stale);
-        registry.set(entry(1, Word::Gone));
-        assert!(ask(view.address(), list).await.contains("DRAINING"));
-        view.ail(Ailment::Down);
-        assert!(ask(view.address(), list).await.contains("503"));
-        view.ail(Ailment::None);
-        assert!(!ask(view.address(), list).await.contains("s1"), "who has gone stands in no whole list");
-        let old = view.address();
-        assert_ne!(view.move_away().await.unwrap(), old);
-        assert!(ask(view.address(), list).await.contains("200"));
-    }
-}
+mod tests;
