--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Calls `report` with the kind, the number and the first of the bytes behind the end of the last answer.
+    /// Calls `report` with the number and the first of the bytes behind the end of the last answer.
     pub fn surplus<T>(&self, report: impl FnOnce(u64, &[u8]) -> T) -> Option<T> {
         let answer = self.state.answer.as_ref()?.borrow();
         Some(report(answer.surplus().bytes(), answer.surplus().kept()))
--- a/agent/src/upstream/answer_end.rs
+++ b/agent/src/upstream/answer_end.rs
@@ -34,8 +34,8 @@
 }
 
 impl AnswerEnd {
-    /// Like [`Self::is_whole`], for an answer whose empty body matters: one that is served, or that claims that the
-    /// request was not executed.
+    /// Like [`Self::is_whole`], for an answer whose empty body matters: one that is served, or that claims that
+    /// the request was not executed.
     pub async fn is_whole_after_grace(&self, body: &[u8]) -> bool {
         if self.view.is_empty_answer() {
             sleep(EMPTY_ANSWER_GRACE).await;
