--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -283,6 +283,36 @@
     assert_eq!(outcome_of_parts(&[&begun, " or not"]).await, (Outcome::ConnectionReset, false));
 }
 
+/// The end of a streamed answer waits for the rest of a copy as well.
+#[tokio::test(start_paused = true)]
+async fn the_rest_of_a_copy_behind_a_streamed_answer_is_waited_for() {
+    let body = "b".repeat(BUFFERED_ANSWER_MAX + 1);
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let begun = format!("{answer}HTTP/1.1 200 OK\r\n");
+    for (rest, expected) in [
+        (&answer["HTTP/1.1 200 OK\r\n".len()..], Outcome::Success),
+        ("no copy", Outcome::ConnectionReset),
+        ("", Outcome::ConnectionReset),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let server_endpoint = ServerEndpoint { server: ServerId(0), address, generation: 0 };
+        let (backends, call, progress) = (backends(), post(9), Progress::default());
+        let until = Instant::now() + Duration::from_secs(60);
+        let request_bytes = call.min_bytes() as usize;
+        let parts = [begun.as_str(), rest];
+        let ended = LocalSet::new()
+            .run_until(async {
+                tokio::select! {
+                    ended = backends.attempt(server_endpoint, &call, until, &progress, &Reader) => ended,
+                    () = answer_in_parts(listener, request_bytes, &parts) => unreachable!("it never ends"),
+                }
+            })
+            .await;
+        assert_eq!(ended.outcome, expected, "{rest:.20}");
+    }
+}
+
 /// A load report whose last digits were cut off is readable, and wrong.
 #[tokio::test]
 async fn the_load_report_of_an_answer_in_doubt_is_ignored() {
