Test of the admin listener: every request is there before the agent accepts

Cause: it opened 40 connections and wrote on them afterwards. At the limit of connections the agent evicts one that has sent nothing for 50 ms, as it is meant to; on a busy machine the test paused longer than that between connect and write. Shown: a pause of 60 ms passes, pauses of 80, 150 and 300 ms fail with the same line, and the suite beside twelve busy loops failed there in 4 of 4 runs.

The requests are now written while the process is stopped, so all 40 must still be answered. RawBackend::accept has a time limit, so that a connection that never comes fails its test instead of holding up the suite.

Measured: the suite beside twelve busy loops passed in 4 of 4 runs.

--- a/agent/tests/loopback/admin.rs
+++ b/agent/tests/loopback/admin.rs
@@ -89,8 +89,12 @@
     let discovery = Discovery::new(line.clone());
     // 64 descriptors less the reserve leave 8 client connections.
     let agent = Agent::start(&admin_config(&config(discovery.address, &line, SETTINGS, 64)));
+    // At the limit a connection that has sent nothing for 50 ms is evicted, and on a busy machine this test may
+    // pause for longer between a connect and a write. Every request is there before the agent accepts.
+    agent.freeze();
     let mut clients: Vec<Client> = (0..40).map(|_| Client::to(&agent)).collect();
     clients.iter_mut().for_each(|client| client.write(&request("once", 9000)));
+    agent.thaw();
     backend.heard.wait(1);
     let admin = agent.admin.unwrap();
     let mut silent: Vec<Client> = (0..20).map(|_| Client::at(admin)).collect();
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -212,9 +212,12 @@
 }
 
 impl RawBackend {
-    /// The next connection.
+    /// The next connection. Fails if none comes within [`BOUND`], rather than holding the whole suite up.
     pub fn accept(&self) -> RawConnection {
-        RawConnection::new(self.listener.accept().expect("a connection").0)
+        let listener = socket2::SockRef::from(&self.listener);
+        // On Linux the time limit of reads is that of accepts too.
+        listener.set_read_timeout(Some(BOUND)).expect("a socket");
+        RawConnection::new(self.listener.accept().expect("a connection in time").0)
     }
 }
 
