An answer is owed until the kernel has its last byte, whoever closes its connection

Clients that read slowly got all but the last 1 to 16 kB of a long answer, and then the end of their connection. Cause: an answer counted as given when hyper had its last byte, not when the kernel had it. From then on a drain (3.2 s), an eviction for descriptors, the limit for idle connections (each after 1 s), a late head behind the answer (2.6 s) and the time limit behind a last answer (0.6 s) closed the connection with the rest in hyper's buffer.

hyper flushes its stream once its buffer is empty. The stream records that, the slot owes the answer until then, and all closes ask the same permit, which knows it; "turned away" was exempt and isn't any more. Times of idleness count from the flush. The permit is asked for again when the close is carried out: a request may have arrived since. A client that reads nothing is closed after 5 s without progress, as before. The event of a close tells whether an answer is owed.

--- a/agent/src/events.rs
+++ b/agent/src/events.rs
@@ -95,9 +95,9 @@
     tracing::debug!(target: TARGET, request = request.0, "abandoned");
 }
 
-/// A client connection is being closed.
-pub fn connection_closed(connection: u64, reason: &str, at_once: bool) {
-    tracing::debug!(target: TARGET, connection, reason, at_once, "connection ends");
+/// A client connection is being closed; `owes_answer` tells whether the kernel lacks a part of an answer.
+pub fn connection_closed(connection: u64, reason: &str, at_once: bool, owes_answer: bool) {
+    tracing::debug!(target: TARGET, connection, reason, at_once, owes_answer, "connection ends");
 }
 
 /// The process has entered a phase; `answers_by` is the instant by which all admitted requests must be
--- a/agent/src/frontend/http/answer_body.rs
+++ b/agent/src/frontend/http/answer_body.rs
@@ -15,27 +15,27 @@
 /// The body of an answer.
 pub enum AnswerBody {
     /// A complete body, with the memory that it holds.
-    Buffered { body: Full<Bytes>, _reservation: Option<MemoryReservation> },
-    /// A streamed body. Its connection counts as busy until the stream has ended.
+    Buffered { body: Full<Bytes>, guard: Option<AnswerGuard>, _reservation: Option<MemoryReservation> },
+    /// A streamed body.
     Streamed(Box<StreamedAnswer>, Option<AnswerGuard>),
 }
 
 impl AnswerBody {
     /// A short text of the agent itself.
     pub fn text(text: &'static str) -> AnswerBody {
-        AnswerBody::Buffered { body: Full::new(Bytes::from_static(text.as_bytes())), _reservation: None }
+        let body = Full::new(Bytes::from_static(text.as_bytes()));
+        AnswerBody::Buffered { body, guard: None, _reservation: None }
     }
 
-    /// Records that the request has its answer. The connection closes after it if `closes` is set.
-    /// `knows_chunks` tells whether the client can read a chunked answer.
+    /// Records that the answer begins. The connection closes after it if `closes` is set. `knows_chunks` tells
+    /// whether the client can read a chunked answer.
     pub fn begin(&mut self, slot: &Rc<ConnectionSlot>, closes: bool, knows_chunks: bool) {
-        match self {
-            AnswerBody::Buffered { .. } => slot.on_answered(closes),
-            AnswerBody::Streamed(body, guard) => {
-                let ends_with_connection = !knows_chunks && body.size_hint().exact().is_none();
-                *guard = Some(AnswerGuard { slot: Rc::clone(slot), closes, ends_with_connection });
-            }
-        }
+        slot.on_answer_begun();
+        let ends_with_connection = !knows_chunks && self.size_hint().exact().is_none();
+        let answer_guard =
+            AnswerGuard { slot: Rc::clone(slot), closes, ends_with_connection, is_broken: false };
+        let (AnswerBody::Buffered { guard, .. } | AnswerBody::Streamed(_, guard)) = self;
+        *guard = Some(answer_guard);
     }
 }
 
@@ -43,24 +43,28 @@
     fn from(body: ServedBody) -> AnswerBody {
         match body {
             ServedBody::Complete(body, reservation) => {
-                AnswerBody::Buffered { body: Full::new(body), _reservation: Some(reservation) }
+                AnswerBody::Buffered { body: Full::new(body), guard: None, _reservation: Some(reservation) }
             }
             ServedBody::Stream(streaming) => AnswerBody::Streamed(streaming, None),
         }
     }
 }
 
-/// Marks the request as answered when a streamed body has ended or is dropped.
+/// Records the end of an answer: hyper drops the body once it has taken the last byte. The answer is owed until
+/// the kernel has that byte too.
 pub struct AnswerGuard {
     slot: Rc<ConnectionSlot>,
     closes: bool,
     /// The client knows the end of the answer by the end of its connection alone.
     ends_with_connection: bool,
+    /// No more of the answer will arrive.
+    is_broken: bool,
 }
 
 impl AnswerGuard {
     /// Makes an answer that broke off distinguishable from a complete one: its connection ends with a reset.
-    fn break_off(&self) {
+    fn break_off(&mut self) {
+        self.is_broken = true;
         if self.ends_with_connection {
             self.slot.view().discard_unsent();
         }
@@ -69,7 +73,7 @@
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        self.slot.on_answered(self.closes);
+        self.slot.on_answer_ended(self.closes, self.is_broken);
     }
 }
 
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -227,7 +227,7 @@
             let gently = async {
                 // A request that was received but not read yet, or part of one, must not be cut off by the
                 // close. The sweep enforces the time limit for its head.
-                while !slot.is_busy() && slot.has_partial_request() {
+                while !slot.is_handling_request() && slot.has_partial_request() {
                     if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
                         return;
                     }
--- a/agent/src/frontend/http/slots.rs
+++ b/agent/src/frontend/http/slots.rs
@@ -40,6 +40,8 @@
     ReadingBody,
     /// A request is complete and has no answer yet.
     Answering,
+    /// The answer has begun, and hyper does not have its last byte yet.
+    Streaming,
     /// The last answer has been given; the connection closes after it.
     Closing,
 }
@@ -58,10 +60,17 @@
     reused: Cell<bool>,
     /// Number of bytes received when the last answer was given.
     received_at_answer: Cell<u64>,
-    close_manner: Cell<Option<CloseManner>>,
+    requested_close: Cell<Option<RequestedClose>>,
     close_requested: Notify,
 }
 
+/// A close that was requested and permitted.
+#[derive(Clone, Copy)]
+struct RequestedClose {
+    manner: CloseManner,
+    reason: CloseReason,
+}
+
 impl ConnectionSlot {
     /// The view of its socket.
     pub fn view(&self) -> &ConnectionView {
@@ -75,7 +84,12 @@
 
     /// Whether it owes an answer, or will once the body is complete.
     pub fn is_busy(&self) -> bool {
-        matches!(self.phase.get(), Phase::ReadingBody | Phase::Answering)
+        self.is_handling_request() || self.view.is_flush_pending()
+    }
+
+    /// Whether the head of a request is complete and its answer is not.
+    pub fn is_handling_request(&self) -> bool {
+        matches!(self.phase.get(), Phase::ReadingBody | Phase::Answering | Phase::Streaming)
     }
 
     /// Whether part of a request has been received, read or not. The client may write the rest before it
@@ -85,7 +99,7 @@
         match self.phase.get() {
             Phase::AwaitingRequest => has_input || self.view.has_unread(),
             Phase::ReadingHead | Phase::ReadingBody => true,
-            Phase::Answering | Phase::Closing => false,
+            Phase::Answering | Phase::Streaming | Phase::Closing => false,
         }
     }
 
@@ -112,10 +126,19 @@
         self.set_phase(Phase::Answering);
     }
 
-    /// Records that the request has its answer. The connection closes after it if `closes` is set.
-    pub fn on_answered(&self, closes: bool) {
+    /// Records that the answer has begun.
+    pub fn on_answer_begun(&self) {
+        self.set_phase(Phase::Streaming);
+    }
+
+    /// Records that hyper has the last byte of the answer, or that there will be none if it `is_broken`. The
+    /// connection closes after it if `closes` is set.
+    pub fn on_answer_ended(&self, closes: bool, is_broken: bool) {
         self.received_at_answer.set(self.view.received());
         self.view.expect_head();
+        if !is_broken {
+            self.view.expect_flush();
+        }
         self.set_phase(if closes { Phase::Closing } else { Phase::AwaitingRequest });
     }
 
@@ -143,36 +166,53 @@
         self.view.is_open()
     }
 
-    /// Whether a complete request has been received and has no answer yet.
+    /// Whether a complete request has been received, and the kernel does not have the last byte of its answer.
     pub fn owes_answer(&self) -> bool {
-        self.phase.get() == Phase::Answering
+        matches!(self.phase.get(), Phase::Answering | Phase::Streaming) || self.view.is_flush_pending()
     }
 
-    /// Asks for a close permit and requests the close that it allows.
-    fn close(&self, wanted: CloseManner, reason: CloseReason) {
+    /// Since when it is in its phase; a phase that follows an answer begins when the kernel has all of it.
+    fn phase_since(&self) -> Instant {
+        let since = self.phase_since.get();
+        self.view.flushed_at().map_or(since, |at| at.max(since))
+    }
+
+    fn close_permit(&self, wanted: CloseManner, reason: CloseReason) -> ClosePermit {
         let facts =
             ConnectionFacts { answer_pending: self.owes_answer(), has_unread: self.view.has_unread() };
-        self.request_close(close(facts, wanted, reason));
+        close(facts, wanted, reason)
     }
 
-    fn request_close(&self, permit: ClosePermit) {
-        let before = self.close_manner.get();
+    /// Asks for a close permit and requests the close that it allows.
+    fn close(&self, wanted: CloseManner, reason: CloseReason) {
+        let before = self.close_manner();
         if before == Some(CloseManner::Immediate) {
             return;
         }
-        let manner = permit.manner();
+        let permit = self.close_permit(wanted, reason);
+        let (manner, reason) = (permit.manner(), permit.reason());
         if before != Some(manner) {
             let at_once = manner == CloseManner::Immediate;
-            events::connection_closed(self.number, permit.reason().name(), at_once);
+            events::connection_closed(self.number, reason.name(), at_once, self.owes_answer());
         }
-        self.close_manner.set(Some(manner));
+        self.requested_close.set(Some(RequestedClose { manner, reason }));
         self.close_requested.notify_one();
     }
 
-    /// Waits until a close is requested, or a faster one than before.
+    fn close_manner(&self) -> Option<CloseManner> {
+        self.requested_close.get().map(|requested| requested.manner)
+    }
+
+    /// Waits until a close is requested, or a faster one than before. Its permit is asked for again: a request
+    /// may have arrived in the meantime.
     pub async fn wait_for_close(&self) -> CloseManner {
         self.close_requested.notified().await;
-        self.close_manner.get().unwrap_or(CloseManner::Graceful)
+        let Some(RequestedClose { manner, reason }) = self.requested_close.get() else {
+            return CloseManner::Graceful;
+        };
+        let manner = self.close_permit(manner, reason).manner();
+        self.requested_close.set(Some(RequestedClose { manner, reason }));
+        manner
     }
 
     /// The close that is due now because a timeout has passed.
@@ -182,9 +222,10 @@
             self.phase.set(Phase::ReadingHead);
             self.phase_since.set(now);
         }
-        let age = now.saturating_duration_since(self.phase_since.get());
+        let age = now.saturating_duration_since(self.phase_since());
         match self.phase.get() {
             _ if self.is_reader_stalled() => Some((CloseManner::Immediate, CloseReason::StuckReader)),
+            Phase::AwaitingRequest | Phase::Closing if self.owes_answer() => None,
             Phase::AwaitingRequest if self.used.get() => {
                 (age > IDLE_TIMEOUT).then_some((CloseManner::Graceful, CloseReason::Idle))
             }
@@ -197,18 +238,18 @@
             Phase::Closing => {
                 (age > FINAL_CLOSE_TIMEOUT).then_some((CloseManner::Immediate, CloseReason::TurnedAway))
             }
-            Phase::ReadingBody | Phase::Answering => None,
+            Phase::ReadingBody | Phase::Answering | Phase::Streaming => None,
         }
     }
 
     /// Order of eviction, lowest first; `None` if it must not be evicted.
     fn eviction_rank(&self, now: Instant) -> Option<(u8, Instant)> {
-        let since = self.phase_since.get();
+        let since = self.phase_since();
         let age = now.saturating_duration_since(since);
         let has_input = self.view.received() > self.received_at_answer.get();
         let rank = match self.phase.get() {
-            _ if self.close_manner.get().is_some() => None,
-            Phase::Answering => None,
+            _ if self.close_manner().is_some() || self.owes_answer() => None,
+            Phase::Answering | Phase::Streaming => None,
             Phase::Closing => (age > READING_EVICTION_AGE).then_some(0),
             Phase::AwaitingRequest if !self.used.get() && !has_input => {
                 (age > SILENT_EVICTION_AGE).then_some(0)
@@ -260,7 +301,7 @@
             used: Cell::new(false),
             reused: Cell::new(false),
             received_at_answer: Cell::new(0),
-            close_manner: Cell::new(None),
+            requested_close: Cell::new(None),
             close_requested: Notify::new(),
         });
         let mut slots = self.slots.borrow_mut();
@@ -314,12 +355,13 @@
         let is_idle = |slot: &&Rc<ConnectionSlot>| {
             let idle = slot.phase.get() == Phase::AwaitingRequest
                 && slot.used.get()
-                && slot.close_manner.get().is_none();
-            idle && now.saturating_duration_since(slot.phase_since.get()) > CROWDED_IDLE_TIMEOUT
+                && !slot.owes_answer()
+                && slot.close_manner().is_none();
+            idle && now.saturating_duration_since(slot.phase_since()) > CROWDED_IDLE_TIMEOUT
         };
         let mut idle_slots: Vec<_> =
             if slots.len() > max_open { slots.values().filter(is_idle).collect() } else { Vec::new() };
-        idle_slots.sort_by_key(|slot| (slot.reused.get(), slot.phase_since.get()));
+        idle_slots.sort_by_key(|slot| (slot.reused.get(), slot.phase_since()));
         for slot in idle_slots.into_iter().take(slots.len().saturating_sub(max_open)) {
             slot.close(CloseManner::Graceful, CloseReason::Crowded);
         }
@@ -330,7 +372,7 @@
         let slots = self.slots.borrow();
         slots
             .values()
-            .filter(|slot| slot.close_manner.get().is_none())
+            .filter(|slot| slot.close_manner().is_none())
             .for_each(|slot| slot.close(CloseManner::Graceful, CloseReason::Leaving));
     }
 
--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -55,6 +55,10 @@
     expired: Cell<bool>,
     /// Since when the peer has read nothing of the bytes that wait to be written.
     write_stalled_since: Cell<Option<Instant>>,
+    /// hyper has the end of a message that the kernel may not have yet.
+    flush_pending: Cell<bool>,
+    /// When the kernel had taken the last byte of a message.
+    flushed_at: Cell<Option<Instant>>,
     /// The head of the request that is being read, on connections of clients.
     head: Option<RefCell<HeadScanner>>,
     /// The answer that is being read, on connections to servers.
@@ -210,7 +214,11 @@
         true
     }
 
+    /// hyper calls this once the kernel has taken all that was in its buffer.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.state.flush_pending.replace(false) {
+            self.state.flushed_at.set(Some(Instant::now()));
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -39,6 +39,21 @@
         self.state.write_stalled_since.get()
     }
 
+    /// Records that hyper has the last byte of a message. Its flush is pending until the kernel has that byte.
+    pub fn expect_flush(&self) {
+        self.state.flush_pending.set(true);
+    }
+
+    /// Whether hyper has the last byte of a message, and the kernel not yet.
+    pub fn is_flush_pending(&self) -> bool {
+        self.state.flush_pending.get()
+    }
+
+    /// When the kernel had taken the last byte of the last message.
+    pub fn flushed_at(&self) -> Option<Instant> {
+        self.state.flushed_at.get()
+    }
+
     /// Waits until more has been read than at the last call.
     pub async fn data_arrived(&self) {
         self.state.data_arrived.notified().await;
--- a/agent/src/permits/closing.rs
+++ b/agent/src/permits/closing.rs
@@ -50,7 +50,7 @@
 /// What decides how a connection may be closed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct ConnectionFacts {
-    /// A complete request has arrived and has not been answered.
+    /// A complete request has arrived, and the kernel does not have the last byte of its answer.
     pub answer_pending: bool,
     /// Bytes have arrived that have not been read yet; they may be a complete request.
     pub has_unread: bool,
@@ -80,7 +80,9 @@
 pub fn close(facts: ConnectionFacts, wanted: CloseManner, reason: CloseReason) -> ClosePermit {
     let is_free = match reason {
         // An answer may be pending, but the client does not read it.
-        CloseReason::StuckReader | CloseReason::TurnedAway => true,
+        CloseReason::StuckReader => true,
+        // The client has been told that its connection closes, so no request is among unread bytes.
+        CloseReason::TurnedAway => !facts.answer_pending,
         // The last byte of a request may be among the unread ones.
         CloseReason::Idle
         | CloseReason::Silent
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -14,6 +14,7 @@
 mod long_answers;
 mod outcomes;
 mod reload;
+mod slow_readers;
 mod stopping;
 mod surplus;
 mod system_faults;
--- /dev/null
+++ b/agent/tests/loopback/slow_readers.rs
@@ -0,0 +1,186 @@
+//! Clients that read a long answer slowly while the agent closes their connection: the answer is owed until the
+//! kernel has its last byte. Each client lets the agent's buffers fill up; the lengths are such that for some
+//! of them the end of the answer, from a byte to 16 KiB, is neither read by the client nor in the kernel.
+
+use super::long_answers::{chunked, decode, stated, text};
+use dilljunction_lab::standins::booking::Act;
+use dilljunction_lab::standins::hand::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
+use std::time::Duration;
+
+/// Longer than any buffer takes to fill up.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// A client that has asked for an answer of `length` bytes and reads when the test says so.
+struct Reader {
+    stream: TcpStream,
+    length: usize,
+    answer: Vec<u8>,
+}
+
+impl Reader {
+    fn ask(address: SocketAddr, length: usize, is_chunked: bool) -> Reader {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        // A small buffer, so that the agent holds most of what has not been read.
+        socket.set_recv_buffer_size(8 * 1024).unwrap();
+        socket.connect(&address.into()).unwrap();
+        let mut stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(Duration::from_secs(6))).unwrap();
+        let framing = if is_chunked { "chunked" } else { "stated" };
+        let query = format!("?length={length}&framing={framing}&");
+        stream.write_all(request("read", 9000).replacen('?', &query, 1).as_bytes()).unwrap();
+        Reader { stream, length, answer: Vec::new() }
+    }
+
+    /// Whether the answer has arrived to its end.
+    fn is_complete(&self) -> bool {
+        let answer = String::from_utf8_lossy(&self.answer);
+        answer.contains("\r\n\r\n") && decode(&answer).1
+    }
+
+    /// Reads some of the answer; false at its end or the end of the connection.
+    fn read_some(&mut self) -> bool {
+        let mut piece = [0; 8 * 1024];
+        match self.stream.read(&mut piece) {
+            Ok(0) | Err(_) => return false,
+            Ok(n) => self.answer.extend_from_slice(&piece[..n]),
+        }
+        !self.is_complete()
+    }
+
+    /// Reads the rest; whether the answer is the one that the server has made.
+    fn arrives_whole(mut self) -> bool {
+        while self.read_some() {}
+        let answer = String::from_utf8_lossy(&self.answer);
+        answer.contains("\r\n\r\n") && decode(&answer) == (text(self.length), true)
+    }
+}
+
+/// A server whose answers are as long as the path says.
+fn backend() -> Backend {
+    Backend::new(|message| {
+        let value = |name: &str| {
+            message.path().split(['?', '&']).find_map(|pair| pair.strip_prefix(name).map(str::to_string))
+        };
+        let Some(length) = value("length=") else { return ok("x") };
+        let body = text(length.parse().unwrap());
+        Act::Answer(if value("framing=").as_deref() == Some("chunked") {
+            chunked(&body)
+        } else {
+            stated(&body)
+        })
+    })
+}
+
+/// An agent with an admin listener and this many descriptors.
+fn start(sockets: usize) -> (Agent, Discovery, Backend) {
+    let backend = backend();
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    (Agent::start(&configuration(&discovery, &line, sockets)), discovery, backend)
+}
+
+fn configuration(discovery: &Discovery, line: &str, sockets: usize) -> String {
+    config(discovery.address, line, SETTINGS, sockets).replacen('{', r#"{"admin":"127.0.0.1:0","#, 1)
+}
+
+fn drain(agent: &Agent) {
+    let line = "POST /healthcheck/fail HTTP/1.1\r\nHost: agent\r\n\r\n";
+    assert_eq!(Client::at(agent.admin.unwrap()).ask(line).status(), 200);
+}
+
+/// The number of bytes that the kernel takes for a client that reads nothing.
+fn kernel_capacity(agent: &Agent) -> usize {
+    let mut probe = Reader::ask(agent.address, 1_000_000, false);
+    sleep(SETTLE_TIME);
+    agent.freeze();
+    probe.stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+    while probe.read_some() {}
+    agent.thaw();
+    probe.answer.len()
+}
+
+/// `count` clients that have read nothing yet of answers whose last bytes are in the agent's own buffer, more
+/// than the kernel takes by up to 16 KiB and `extra` bytes.
+fn stalled_readers(agent: &Agent, count: usize, extra: usize) -> Vec<Reader> {
+    let capacity = kernel_capacity(agent);
+    let ask = |i: usize| Reader::ask(agent.address, capacity + extra + 16 * 1024 * i / count, i % 2 == 1);
+    let readers: Vec<Reader> = (0..count).map(ask).collect();
+    for reader in &readers {
+        assert_eq!(reader.stream.peek(&mut [0]).unwrap(), 1, "an answer has begun");
+    }
+    sleep(SETTLE_TIME);
+    readers
+}
+
+fn expect_whole(readers: Vec<Reader>) {
+    let all = readers.len();
+    let whole = readers.into_iter().map(Reader::arrives_whole).filter(|whole| *whole).count();
+    assert_eq!(whole, all, "answers that arrived whole");
+}
+
+/// Guards against: 3.2 s into a drain, connections were closed with the end of an answer unwritten.
+#[test]
+fn a_drain_cuts_off_no_answer() {
+    let (agent, _discovery, _backend) = start(1024);
+    let readers = stalled_readers(&agent, 24, 0);
+    drain(&agent);
+    sleep(Duration::from_millis(3800));
+    expect_whole(readers);
+}
+
+/// Guards against: 0.6 s after the last answer of a connection its end was cut off.
+#[test]
+fn an_answer_that_closes_its_connection_is_not_cut_off() {
+    let (agent, _discovery, _backend) = start(1024);
+    drain(&agent);
+    let readers = stalled_readers(&agent, 24, 0);
+    sleep(Duration::from_millis(1500));
+    expect_whole(readers);
+}
+
+/// Guards against: a connection with the end of an answer unwritten was evicted as an idle one.
+#[test]
+fn an_eviction_cuts_off_no_answer() {
+    let (agent, _discovery, _backend) = start(64);
+    // 64 descriptors less the reserve leave 8 client connections.
+    let readers = stalled_readers(&agent, 6, 0);
+    for _ in 0..6 {
+        assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
+    }
+    let idle: Vec<Client> = (0..4).map(|_| Client::to(&agent)).collect();
+    sleep(Duration::from_millis(1800));
+    drop(idle);
+    expect_whole(readers);
+}
+
+/// Guards against: above the limit for idle connections, one with the end of an answer unwritten was closed.
+#[test]
+fn a_crowd_of_idle_connections_cuts_off_no_answer() {
+    let (agent, _discovery, _backend) = start(192);
+    let readers = stalled_readers(&agent, 12, 0);
+    let mut idle = Vec::new();
+    for _ in 0..48 {
+        let mut client = Client::to(&agent);
+        assert_eq!(client.ask(&request("read", 9000)).status(), 200);
+        idle.push(client);
+    }
+    sleep(Duration::from_millis(3500));
+    expect_whole(readers);
+}
+
+/// A client that sends something that is no request behind its request gets its answer whole first.
+#[test]
+fn an_invalid_request_behind_an_answer_does_not_cut_it_off() {
+    let (agent, _discovery, _backend) = start(1024);
+    let mut readers = stalled_readers(&agent, 24, 0);
+    readers.iter_mut().for_each(|reader| reader.stream.write_all(b"no request\r\n\r\n").unwrap());
+    sleep(Duration::from_millis(3000));
+    for reader in &mut readers {
+        while reader.read_some() {}
+        let rejection = reader.answer.windows(12).rposition(|bytes| bytes == b"HTTP/1.1 400");
+        reader.answer.truncate(rejection.unwrap_or(reader.answer.len()));
+    }
+    expect_whole(readers);
+}
