Test of crossing closes: the agent's socket is told of the close before the agent goes on

Shown: if another descriptor holds the test's connection for 100 ms, as a process does that another test is just starting, the close comes after the send, the request may have run, its client gets 502 as it must, and the test waits for a connection that never comes. The test now waits until the machine's table of sockets has the close; with the same descriptor held it passes, and it checks what it checked before.

--- a/agent/tests/loopback/crossings.rs
+++ b/agent/tests/loopback/crossings.rs
@@ -143,11 +143,7 @@
     for reset in [false, true] {
         let (agent, _discovery, backend, connection, mut client) = with_idle_connection("once");
         agent.freeze();
-        if reset {
-            connection.reset();
-        } else {
-            drop(connection);
-        }
+        connection.end(reset);
         client.write(&request("once", 9000));
         agent.thaw();
         let mut next = backend.accept();
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -170,18 +170,10 @@
 impl LateBackend {
     /// Waits until somebody dials: a connection to it is on its way, as the machine's own table has it.
     pub fn is_dialled(&self) {
-        // Address and port as the kernel words them, and the state of one that has asked and was not answered.
-        let SocketAddr::V4(at) = self.address else { panic!("{} is not IPv4", self.address) };
-        let wanted = format!("{:08X}:{:04X}", u32::from_ne_bytes(at.ip().octets()), at.port());
-        let start = Instant::now();
-        let on_its_way = |line: &str| {
-            let mut words = line.split_ascii_whitespace().skip(2);
-            words.next() == Some(wanted.as_str()) && words.next() == Some("02")
-        };
-        while !std::fs::read_to_string("/proc/net/tcp").is_ok_and(|table| table.lines().any(on_its_way)) {
-            assert!(start.elapsed() < BOUND, "nobody dials");
-            thread::sleep(Duration::from_millis(1));
-        }
+        // The state of one that has asked and was not answered.
+        wait_for_sockets("nobody dials", |sockets| {
+            sockets.iter().any(|socket| socket.remote == self.address && socket.state == "02")
+        });
     }
 
     /// What dials comes up from here on, when its machine asks once more. The first connection of an agent's.
@@ -197,6 +189,41 @@
     }
 }
 
+/// A socket as the machine's own table has it.
+struct KernelSocket {
+    local: SocketAddr,
+    remote: SocketAddr,
+    state: String,
+}
+
+impl KernelSocket {
+    /// Reads a line of the table; `None` for its heading.
+    fn parse(line: &str) -> Option<KernelSocket> {
+        let mut words = line.split_ascii_whitespace().skip(1);
+        let mut address = || {
+            let (ip, port) = words.next()?.split_once(':')?;
+            let ip = u32::from_str_radix(ip, 16).ok()?.to_ne_bytes();
+            Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
+        };
+        let (local, remote) = (address()?, address()?);
+        Some(KernelSocket { local, remote, state: words.next()?.to_string() })
+    }
+}
+
+/// Waits until the machine's table of sockets is as wanted.
+fn wait_for_sockets(complaint: &str, is_wanted: impl Fn(&[KernelSocket]) -> bool) {
+    let start = Instant::now();
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
+        let sockets: Vec<KernelSocket> = table.lines().filter_map(KernelSocket::parse).collect();
+        if is_wanted(&sockets) {
+            return;
+        }
+        assert!(start.elapsed() < BOUND, "{complaint}");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// A server whose connections a test holds in its hands.
 pub struct RawBackend {
     /// Where it listens.
@@ -259,6 +286,21 @@
     pub fn reset(self) {
         socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("a socket");
     }
+
+    /// Ends it, by a reset or not, and waits until the agent's socket is told. That can take a moment: a process that another
+    /// test is just starting holds a copy of each descriptor until it has replaced its program.
+    pub fn end(self, by_reset: bool) {
+        let agents = self.stream.peer_addr().expect("a connected socket");
+        let own = self.stream.local_addr().expect("a connected socket");
+        if by_reset {
+            self.reset();
+        } else {
+            drop(self);
+        }
+        wait_for_sockets("the agent is not told of the end", |sockets| {
+            !sockets.iter().any(|s| s.local == agents && s.remote == own && s.state == "01")
+        });
+    }
 }
 
 /// A list that tests change in the protocol's own words, and what was asked of it.
