A process that was told to stop stays while a client goes on reading a long answer

A stop ended the process 0.6 s after the longest deadline, whatever was still moving, and cut off long answers of any length; the platform kills 0.1 s later at the earliest. Cause: the end was a fixed time, for a platform that only states the earliest one. The process now stays past it as long as the kernel has taken some of an answer that has begun in the last 2.5 s (chosen: a client at 64 kB a second frees its buffers in steps of up to 2 s). Where nothing moves it ends when it did. The life cycle gets what it decides by in one type.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -112,8 +112,8 @@
     }
 
     /// Serves until `stop` completes, then answers all accepted requests and ends: within 0.9 s if no answer
-    /// is pending (1.4 s where the platform holds the socket), and at the latest 0.6 s after the longest
-    /// deadline of a class.
+    /// is pending (1.4 s where the platform holds the socket), and 0.6 s after the longest deadline of a class
+    /// otherwise, or once no client goes on reading an answer.
     pub async fn serve(self, stop: impl Future<Output = ()>) {
         let Agent { server, listener, clients, inherited, control, _tasks, .. } = self;
         let mut listener = Some(listener);
@@ -149,7 +149,7 @@
                 }
             }
             server.close_idle_connections();
-            let permit = clients.exit_permit(server.connections(), server.owed());
+            let permit = clients.exit_permit(server.connections());
             if let Some(permit) = permit.filter(|_| stopped) {
                 server.end_process(permit);
                 return;
--- a/agent/src/clients.rs
+++ b/agent/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::driver::Driver;
 use crate::events;
 use crate::log::log;
-use crate::permits::lifecycle::{ExitPermit, IdlePolicy, Lifecycle, Phase, ShuttingDown};
+use crate::permits::lifecycle::{ExitPermit, IdlePolicy, Lifecycle, OpenConnections, Phase, ShuttingDown};
 use crate::permits::violations::Violations;
 use std::cell::RefCell;
 use tokio::sync::Notify;
@@ -107,8 +107,8 @@
     }
 
     /// The permit to end the process, if it may end now.
-    pub fn exit_permit(&self, open: usize, owed: usize) -> Option<ExitPermit> {
-        self.life_cycle.borrow().exit_permit(Instant::now(), open, owed)
+    pub fn exit_permit(&self, connections: OpenConnections) -> Option<ExitPermit> {
+        self.life_cycle.borrow().exit_permit(Instant::now(), connections)
     }
 
     /// Waits until one of the results above may have changed.
--- a/agent/src/configuration/live.rs
+++ b/agent/src/configuration/live.rs
@@ -25,7 +25,7 @@
 
 impl LimitedConnections for Connections {
     fn held(&self) -> (usize, usize) {
-        (self.server.connections(), self.driver.pool().count())
+        (self.server.connections().open, self.driver.pool().count())
     }
 
     fn allow(&self, clients: usize, servers: usize) {
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -10,7 +10,7 @@
 use crate::metered_stream::{Gauge, MeteredStream};
 use crate::permits::admission::admit;
 use crate::permits::closing::CloseManner;
-use crate::permits::lifecycle::{ExitPermit, IdlePolicy};
+use crate::permits::lifecycle::{ExitPermit, IdlePolicy, OpenConnections};
 use crate::permits::violations::Violation;
 use crate::requests::Answer;
 use hyper::body::Incoming;
@@ -169,14 +169,13 @@
         }
     }
 
-    /// Number of open connections.
-    pub fn connections(&self) -> usize {
-        self.open.count()
-    }
-
-    /// Number of connections that owe an answer or may do so soon.
-    pub fn owed(&self) -> usize {
-        self.slots.owed()
+    /// The open connections, as far as the end of the process depends on them.
+    pub fn connections(&self) -> OpenConnections {
+        OpenConnections {
+            open: self.open.count(),
+            pending: self.slots.owed(),
+            answer_moves: self.slots.any_answer_moves(),
+        }
     }
 
     /// Ends the process with this permit. Answers that are owed at that moment are lost and recorded as a
--- a/agent/src/frontend/http/slots.rs
+++ b/agent/src/frontend/http/slots.rs
@@ -22,6 +22,9 @@
 /// A connection is closed when its client reads nothing of its answer for this long. A client that reads 64
 /// kB a second frees buffer space in steps of up to 2 s, because of the buffers of the two sockets.
 const READER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// An answer moves if the kernel has taken some of it within this time. A client that reads 64 kB a second
+/// lets it take some every 2 s at least.
+const ANSWER_PROGRESS_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Maximum time until a connection closes after its last answer.
 const FINAL_CLOSE_TIMEOUT: Duration = Duration::from_millis(600);
 /// A connection that has sent nothing, or only part of a request, for this long is evicted before any
@@ -171,6 +174,13 @@
         matches!(self.phase.get(), Phase::Answering | Phase::Streaming) || self.view.is_flush_pending()
     }
 
+    /// Whether an answer has begun and its client goes on reading it.
+    pub fn answer_moves(&self, now: Instant) -> bool {
+        let is_written = self.phase.get() == Phase::Streaming || self.view.is_flush_pending();
+        let last_write = self.view.last_write().filter(|_| is_written);
+        last_write.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_PROGRESS_TIMEOUT)
+    }
+
     /// Since when it is in its phase; a phase that follows an answer begins when the kernel has all of it.
     fn phase_since(&self) -> Instant {
         let since = self.phase_since.get();
@@ -396,6 +406,12 @@
     pub fn unanswered(&self) -> usize {
         self.slots.borrow().values().filter(|slot| slot.owes_answer()).count()
     }
+
+    /// Whether a client goes on reading an answer that has begun.
+    pub fn any_answer_moves(&self) -> bool {
+        let now = Instant::now();
+        self.slots.borrow().values().any(|slot| slot.answer_moves(now))
+    }
 }
 
 #[cfg(test)]
--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -55,6 +55,8 @@
     expired: Cell<bool>,
     /// Since when the peer has read nothing of the bytes that wait to be written.
     write_stalled_since: Cell<Option<Instant>>,
+    /// When the kernel last took bytes for sending.
+    last_write: Cell<Option<Instant>>,
     /// hyper has the end of a message that the kernel may not have yet.
     flush_pending: Cell<bool>,
     /// When the kernel had taken the last byte of a message.
@@ -185,8 +187,10 @@
                 Ok(n) => {
                     self.state.written.set(self.state.written.get() + n as u64);
                     self.state.write_stalled_since.set(None);
+                    let now = Instant::now();
+                    self.state.last_write.set(Some(now));
                     if let Some(armed) = armed {
-                        armed.permit.record_first_byte(Instant::now());
+                        armed.permit.record_first_byte(now);
                     }
                     return Poll::Ready(Ok(n));
                 }
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -39,6 +39,11 @@
         self.state.write_stalled_since.get()
     }
 
+    /// When the kernel last took bytes for sending.
+    pub fn last_write(&self) -> Option<Instant> {
+        self.state.last_write.get()
+    }
+
     /// Records that hyper has the last byte of a message. Its flush is pending until the kernel has that byte.
     pub fn expect_flush(&self) {
         self.state.flush_pending.set(true);
--- a/agent/src/permits/lifecycle.rs
+++ b/agent/src/permits/lifecycle.rs
@@ -63,6 +63,17 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct ShuttingDown;
 
+/// The client connections of a process, as far as its end depends on them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenConnections {
+    /// Number of open connections.
+    pub open: usize,
+    /// Number of connections with an answer pending or a request arriving.
+    pub pending: usize,
+    /// A client goes on reading an answer that has begun.
+    pub answer_moves: bool,
+}
+
 /// Permission to end the process. The code that ends it consumes the permit.
 #[derive(Debug, PartialEq, Eq)]
 pub struct ExitPermit(());
@@ -181,14 +192,14 @@
         }
     }
 
-    /// Decides whether the process may end now. `open` is the number of open connections, `pending` the number
-    /// of those with an answer pending or a request arriving.
-    pub fn exit_permit(&self, now: Instant, open: usize, pending: usize) -> Option<ExitPermit> {
+    /// Decides whether the process may end now. The platform ends it if it stays for longer than it may.
+    pub fn exit_permit(&self, now: Instant, connections: OpenConnections) -> Option<ExitPermit> {
+        let OpenConnections { open, pending, answer_moves } = connections;
         let (Phase::Stopping(since) | Phase::HandingOver(since)) = self.phase else { return None };
         let quiet =
             since + UNUSED_GRACE + if self.inherited { HANDOVER_IDLE_TIME } else { ACCEPT_AFTER_STOP };
         let idle = open == 0 && !self.accepts(now);
-        let is_over = now >= ProcessEnd::new(since, self.longest_deadline).exit();
+        let is_over = !answer_moves && now >= ProcessEnd::new(since, self.longest_deadline).exit();
         (idle || (pending == 0 && now >= quiet) || is_over).then_some(ExitPermit(()))
     }
 
--- a/agent/src/permits/lifecycle/tests.rs
+++ b/agent/src/permits/lifecycle/tests.rs
@@ -7,6 +7,11 @@
     Duration::from_millis(ms)
 }
 
+/// Connections on which no answer moves.
+fn connections(open: usize, pending: usize) -> OpenConnections {
+    OpenConnections { open, pending, answer_moves: false }
+}
+
 /// A process in normal operation.
 fn serving(inherited: bool) -> Lifecycle {
     let mut lifecycle = Lifecycle::new(inherited, LONGEST);
@@ -47,7 +52,8 @@
     assert_eq!(lifecycle.phase(), Phase::Draining(start), "repeated, counted from the first time");
     assert!(!lifecycle.is_ready(true) && !lifecycle.is_in_service() && lifecycle.closes_connections());
     assert!(
-        lifecycle.accepts(start + ms(60_000)) && lifecycle.exit_permit(start + ms(60_000), 0, 0).is_none()
+        lifecycle.accepts(start + ms(60_000))
+            && lifecycle.exit_permit(start + ms(60_000), connections(0, 0)).is_none()
     );
     assert_eq!(lifecycle.idle_policy(start + ms(300)), IdlePolicy::Keep);
     assert_eq!(lifecycle.next(start), Some(start + DRAIN_IDLE_TIME));
@@ -81,34 +87,50 @@
         (IdlePolicy::Keep, IdlePolicy::Close)
     );
     assert!(
-        lifecycle.exit_permit(start + ms(499), 0, 0).is_none()
-            && lifecycle.exit_permit(start + ms(500), 0, 0).is_some()
+        lifecycle.exit_permit(start + ms(499), connections(0, 0)).is_none()
+            && lifecycle.exit_permit(start + ms(500), connections(0, 0)).is_some()
     );
     assert!(
-        lifecycle.exit_permit(start + ms(899), 1, 0).is_none()
-            && lifecycle.exit_permit(start + ms(900), 1, 0).is_some()
+        lifecycle.exit_permit(start + ms(899), connections(1, 0)).is_none()
+            && lifecycle.exit_permit(start + ms(900), connections(1, 0)).is_some()
     );
     let last = start + LONGEST + ms(600);
     assert!(lifecycle.answers_by().is_some_and(|by| by < last));
     assert!(
-        lifecycle.exit_permit(last - ms(1), 1, 1).is_none() && lifecycle.exit_permit(last, 1, 1).is_some()
+        lifecycle.exit_permit(last - ms(1), connections(1, 1)).is_none()
+            && lifecycle.exit_permit(last, connections(1, 1)).is_some()
     );
 }
 
+/// The platform may leave a process more time than it guarantees; an answer that a client still reads uses it.
+#[test]
+fn a_shutdown_waits_for_an_answer_that_moves() {
+    let start = Instant::now();
+    for inherited in [false, true] {
+        let mut lifecycle = serving(inherited);
+        lifecycle.stop(start);
+        let moving = OpenConnections { open: 1, pending: 1, answer_moves: true };
+        for seconds in [3, 4, 60] {
+            assert!(lifecycle.exit_permit(start + Duration::from_secs(seconds), moving).is_none());
+        }
+        assert!(lifecycle.exit_permit(start + Duration::from_secs(4), connections(1, 1)).is_some());
+    }
+}
+
 #[test]
 fn a_handover_leaves_queued_connections_to_the_next_process_at_once() {
     let start = Instant::now();
     let mut lifecycle = serving(true);
     lifecycle.stop(start);
     assert_eq!(lifecycle.phase(), Phase::HandingOver(start));
-    assert!(!lifecycle.accepts(start) && lifecycle.exit_permit(start, 0, 0).is_some());
+    assert!(!lifecycle.accepts(start) && lifecycle.exit_permit(start, connections(0, 0)).is_some());
     assert_eq!(
         (lifecycle.idle_policy(start), lifecycle.idle_policy(start + HANDOVER_IDLE_TIME)),
         (IdlePolicy::Keep, IdlePolicy::Close)
     );
     assert!(
-        lifecycle.exit_permit(start + ms(1399), 1, 0).is_none()
-            && lifecycle.exit_permit(start + ms(1400), 1, 0).is_some()
+        lifecycle.exit_permit(start + ms(1399), connections(1, 0)).is_none()
+            && lifecycle.exit_permit(start + ms(1400), connections(1, 0)).is_some()
     );
 }
 
@@ -173,7 +195,10 @@
             reached.insert(lifecycle.phase().name());
             if stop.is_none() {
                 assert_eq!(lifecycle.is_ready(true), drain.is_none());
-                assert!(lifecycle.exit_permit(now, 0, 0).is_none(), "only a shutdown ends the process");
+                assert!(
+                    lifecycle.exit_permit(now, connections(0, 0)).is_none(),
+                    "only a shutdown ends the process"
+                );
                 assert!(lifecycle.accepts(now) || (inherited && !usable));
                 let rests = drain.is_none_or(|since| now < since + DRAIN_IDLE_TIME);
                 assert_eq!(lifecycle.idle_policy(now) == IdlePolicy::Keep, rests);
@@ -181,12 +206,15 @@
             if let Some(since) = stop {
                 assert!(lifecycle.closes_connections() && !lifecycle.is_in_service());
                 assert!(!(inherited && lifecycle.accepts(now)));
-                assert_eq!(lifecycle.exit_permit(now, 9, 9).is_some(), now >= since + LONGEST + ms(600));
+                let is_over = now >= since + LONGEST + ms(600);
+                let moving = OpenConnections { open: 9, pending: 9, answer_moves: true };
+                assert_eq!(lifecycle.exit_permit(now, connections(9, 9)).is_some(), is_over);
+                assert!(lifecycle.exit_permit(now, moving).is_none());
             }
             let answers = (
                 lifecycle.accepts(now),
                 lifecycle.idle_policy(now),
-                lifecycle.exit_permit(now, 9, 0).is_some(),
+                lifecycle.exit_permit(now, connections(9, 0)).is_some(),
             );
             // Without an order, the decisions change only at the instants that `next` announced.
             let quiet = order > 3 && was_next.is_none_or(|at| now < at);
--- a/agent/tests/loopback/slow_readers.rs
+++ b/agent/tests/loopback/slow_readers.rs
@@ -5,13 +5,17 @@
 use super::long_answers::{chunked, decode, stated, text};
 use dilljunction_lab::standins::booking::Act;
 use dilljunction_lab::standins::hand::*;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than any buffer takes to fill up.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// When a shutdown ends the process at the latest if no answer moves: the longest deadline, 3 s at most, and
+/// 0.6 s more.
+const EXIT_TIME: Duration = Duration::from_millis(3600);
+
 /// A client that has asked for an answer of `length` bytes and reads when the test says so.
 struct Reader {
     stream: TcpStream,
@@ -120,6 +124,17 @@
     assert_eq!(whole, all, "answers that arrived whole");
 }
 
+/// Reads about 32 kB a second on each connection, until none has anything left or `time` has passed.
+fn read_slowly(readers: &mut [Reader], time: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < time {
+        for reader in readers.iter_mut().filter(|reader| !reader.is_complete()) {
+            reader.read_some();
+        }
+        sleep(Duration::from_millis(250));
+    }
+}
+
 /// Guards against: 3.2 s into a drain, connections were closed with the end of an answer unwritten.
 #[test]
 fn a_drain_cuts_off_no_answer() {
@@ -184,3 +199,60 @@
     }
     expect_whole(readers);
 }
+
+/// A process that was told to stop stays while its clients read on, past the time at which it would end.
+fn check_shutdown(mut agent: Agent) {
+    // 128 KiB more than the kernel takes are read in over four seconds.
+    let mut readers = stalled_readers(&agent, 12, 128 * 1024);
+    agent.terminate();
+    read_slowly(&mut readers, EXIT_TIME + Duration::from_millis(600));
+    assert!(readers.iter().any(|reader| !reader.is_complete()), "the readers are slower than the shutdown");
+    expect_whole(readers);
+    let read = Instant::now();
+    assert_eq!(agent.ended(), Some(0));
+    assert!(read.elapsed() < Duration::from_millis(1500), "it ends once no answer is owed");
+}
+
+/// Guards against: the process ended 0.6 s after the longest deadline with answers unwritten.
+#[test]
+fn a_shutdown_cuts_off_no_answer_that_moves() {
+    let (agent, _discovery, _backend) = start(1024);
+    check_shutdown(agent);
+}
+
+/// The same when another process takes the listening socket over.
+#[test]
+fn a_handover_cuts_off_no_answer_that_moves() {
+    let backend = backend();
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let text = configuration(&discovery, &line, 1024)
+        .replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{address}""#));
+    check_shutdown(Agent::inheriting(&text, &listener));
+}
+
+/// Clients that read nothing hold up neither a shutdown nor a drain, and use up no connection for good.
+#[test]
+fn clients_that_read_nothing_hold_nothing_up() {
+    let (mut agent, _discovery, _backend) = start(1024);
+    let readers = stalled_readers(&agent, 6, 0);
+    let stopped = Instant::now();
+    agent.terminate();
+    assert_eq!(agent.ended(), Some(0));
+    assert!(stopped.elapsed() < EXIT_TIME + Duration::from_millis(300), "{:?}", stopped.elapsed());
+    drop(readers);
+
+    let (agent, _discovery, _backend) = start(1024);
+    let readers = stalled_readers(&agent, 6, 0);
+    drain(&agent);
+    sleep(Duration::from_millis(6500));
+    for reader in &readers {
+        reader.stream.set_nonblocking(true).unwrap();
+        let mut rest = &reader.stream;
+        let end = std::iter::repeat_with(|| rest.read(&mut [0; 8192])).find(|read| !matches!(read, Ok(1..)));
+        let is_open = end.is_some_and(|read| read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock));
+        assert!(!is_open, "a connection whose client reads nothing stays open");
+    }
+}
