Split slots.rs and server.rs, which had grown over their jobs

One client connection (phase, what it owes, which close is due) is `connection_slot.rs`; `slots.rs` keeps the slots of all of them. The responses to clients are `responses.rs`.

--- a/agent/src/frontend/http/answer_body.rs
+++ b/agent/src/frontend/http/answer_body.rs
@@ -1,6 +1,6 @@
 //! The body of an answer to a client: buffered, or streamed from a server.
 
-use super::slots::ConnectionSlot;
+use super::connection_slot::ConnectionSlot;
 use crate::memory_budget::MemoryReservation;
 use crate::upstream::attempt::ServedBody;
 use crate::upstream::body::AnswerError;
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -1,7 +1,9 @@
 //! The server side for clients: reads requests and gives each exactly one answer.
 
 use super::answer_body::AnswerBody;
-use super::slots::{ConnectionSlot, ConnectionSlots};
+use super::connection_slot::ConnectionSlot;
+use super::responses::{rejection_response, text_response, to_response};
+use super::slots::ConnectionSlots;
 use super::validation::{check_no_excess, BodyRemainder, Rejection, RequestRules, ValidRequest};
 use crate::clients::Clients;
 use crate::driver::Driver;
@@ -12,12 +14,11 @@
 use crate::permits::closing::CloseManner;
 use crate::permits::lifecycle::{ExitPermit, IdlePolicy, OpenConnections};
 use crate::permits::violations::Violation;
-use crate::requests::Answer;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Version};
-use ryelead::{RequestId, Span};
+use ryelead::RequestId;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
@@ -27,7 +28,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot::error::RecvError;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
@@ -44,9 +44,6 @@
 /// partial heads would fill the memory.
 const HEAD_MAX: usize = 16 * 1024;
 const HEADERS_MAX: usize = 64;
-/// Retry-After if there was no memory for a body: by then other requests are finished.
-const BODY_RETRY_AFTER: Span = Span(100_000);
-
 /// The process ends before it could answer the request; it was not forwarded.
 const PROCESS_ENDS: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "the process ends");
 /// Never read by anyone, since the client has disconnected.
@@ -361,23 +358,6 @@
     error.raw_os_error().is_some_and(|number| matches!(number, 12 | 23 | 24 | 105))
 }
 
-/// The HTTP response for an answer of the driver; `None` if there was none in time.
-fn to_response(answer: Option<Result<Answer, RecvError>>) -> Response<AnswerBody> {
-    match answer {
-        Some(Ok(Answer::Served(served))) => {
-            let mut answer = Response::new(AnswerBody::from(served.body));
-            if let Some(kind) = served.content_type {
-                answer.headers_mut().insert(CONTENT_TYPE, kind);
-            }
-            answer
-        }
-        Some(Ok(Answer::Refused(retry_after))) => refused_response(retry_after),
-        Some(Ok(Answer::Failed) | Err(_)) => text_response(StatusCode::BAD_GATEWAY, "failed"),
-        // One answer in time is guaranteed even if the decision module gives none.
-        None => text_response(StatusCode::GATEWAY_TIMEOUT, "out of time"),
-    }
-}
-
 /// A request that waits for its answer. Dropping it tells the driver that nobody waits any more.
 struct Pending {
     driver: Driver,
@@ -389,28 +369,3 @@
         self.driver.abandon(self.id);
     }
 }
-
-fn text_response(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
-    let mut answer = Response::new(AnswerBody::text(text));
-    *answer.status_mut() = status;
-    answer
-}
-
-/// The response to a refused request, with Retry-After.
-fn refused_response(retry_after: Option<Span>) -> Response<AnswerBody> {
-    let mut answer = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-    if let Some(Ok(value)) = retry_after.map(|s| HeaderValue::try_from(format!("{:.3}", s.ms() / 1e3))) {
-        answer.headers_mut().insert(RETRY_AFTER, value);
-    }
-    answer
-}
-
-/// The response to an invalid request. The connection closes, since nothing else on it is read.
-fn rejection_response(status: StatusCode, why: &'static str) -> Response<AnswerBody> {
-    let mut answer = match status {
-        StatusCode::SERVICE_UNAVAILABLE => refused_response(Some(BODY_RETRY_AFTER)),
-        status => text_response(status, why),
-    };
-    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    answer
-}
--- a/agent/src/frontend/http/slots.rs
+++ b/agent/src/frontend/http/slots.rs
@@ -1,8 +1,9 @@
-//! Connection slots of clients: timeouts, idle-connection eviction and close on shutdown.
+//! The slots of all client connections: the sweep of their timeouts, idle-connection eviction, and close on
+//! shutdown.
 
-use crate::events;
+use super::connection_slot::ConnectionSlot;
 use crate::metered_stream::ConnectionView;
-use crate::permits::closing::{close, CloseManner, ClosePermit, CloseReason, ConnectionFacts};
+use crate::permits::closing::{CloseManner, CloseReason};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -10,268 +11,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A new connection must send the first byte of a request within this time.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// A request head must be complete this long after its first byte; slow clients take 2 s. The time limit for
-/// the body is enforced where the body is read.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(2600);
-/// Maximum idle time of a connection that has carried a request.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum idle time while more connections are open than the idle-eviction limit.
 const CROWDED_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// A connection is closed when its client reads nothing of its answer for this long. A client that reads 64
-/// kB a second frees buffer space in steps of up to 2 s, because of the buffers of the two sockets.
-const READER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// An answer moves if the kernel has taken some of it within this time. A client that reads 64 kB a second
-/// lets it take some every 2 s at least.
-const ANSWER_PROGRESS_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Maximum time until a connection closes after its last answer.
-const FINAL_CLOSE_TIMEOUT: Duration = Duration::from_millis(600);
-/// A connection that has sent nothing, or only part of a request, for this long is evicted before any
-/// connection that has carried a request.
-const SILENT_EVICTION_AGE: Duration = Duration::from_millis(50);
-const READING_EVICTION_AGE: Duration = Duration::from_millis(150);
-
-/// State of a connection.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Phase {
-    /// No byte of a request has been received.
-    AwaitingRequest,
-    /// Part of a request head has been received.
-    ReadingHead,
-    /// The head is complete; the body is being received.
-    ReadingBody,
-    /// A request is complete and has no answer yet.
-    Answering,
-    /// The answer has begun, and hyper does not have its last byte yet.
-    Streaming,
-    /// The last answer has been given; the connection closes after it.
-    Closing,
-}
-
-/// State of one client connection, shared between its task and the other users of the slots.
-pub struct ConnectionSlot {
-    number: u64,
-    /// Upper bound of the time that the connection spent in the listener's queue, and with it its first
-    /// request.
-    queue_time: Cell<Duration>,
-    view: ConnectionView,
-    phase: Cell<Phase>,
-    phase_since: Cell<Instant>,
-    used: Cell<bool>,
-    /// More than one request has been received, so its client may send another.
-    reused: Cell<bool>,
-    /// Number of bytes received when the last answer was given.
-    received_at_answer: Cell<u64>,
-    requested_close: Cell<Option<RequestedClose>>,
-    close_requested: Notify,
-}
-
-/// A close that was requested and permitted.
-#[derive(Clone, Copy)]
-struct RequestedClose {
-    manner: CloseManner,
-    reason: CloseReason,
-}
-
-impl ConnectionSlot {
-    /// The view of its socket.
-    pub fn view(&self) -> &ConnectionView {
-        &self.view
-    }
-
-    /// Whether it has carried a request already.
-    pub fn is_used(&self) -> bool {
-        self.used.get()
-    }
-
-    /// Whether it owes an answer, or will once the body is complete.
-    pub fn is_busy(&self) -> bool {
-        self.is_handling_request() || self.view.is_flush_pending()
-    }
-
-    /// Whether the head of a request is complete and its answer is not.
-    pub fn is_handling_request(&self) -> bool {
-        matches!(self.phase.get(), Phase::ReadingBody | Phase::Answering | Phase::Streaming)
-    }
-
-    /// Whether part of a request has been received, read or not. The client may write the rest before it
-    /// notices a close.
-    pub fn has_partial_request(&self) -> bool {
-        let has_input = self.view.received() > self.received_at_answer.get();
-        match self.phase.get() {
-            Phase::AwaitingRequest => has_input || self.view.has_unread(),
-            Phase::ReadingHead | Phase::ReadingBody => true,
-            Phase::Answering | Phase::Streaming | Phase::Closing => false,
-        }
-    }
-
-    fn set_phase(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.phase_since.set(Instant::now());
-    }
-
-    /// Records that the head of a request is complete.
-    pub fn on_head_complete(&self) {
-        self.reused.set(self.used.replace(true));
-        self.set_phase(Phase::ReadingBody);
-    }
-
-    /// Records that a piece of the body has been received.
-    pub fn on_body_data(&self) {
-        if self.phase.get() == Phase::ReadingBody {
-            self.phase_since.set(Instant::now());
-        }
-    }
-
-    /// Records that the request is complete.
-    pub fn on_request_complete(&self) {
-        self.set_phase(Phase::Answering);
-    }
-
-    /// Records that the answer has begun.
-    pub fn on_answer_begun(&self) {
-        self.set_phase(Phase::Streaming);
-    }
-
-    /// Records that hyper has the last byte of the answer, or that there will be none if it `is_broken`. The
-    /// connection closes after it if `closes` is set.
-    pub fn on_answer_ended(&self, closes: bool, is_broken: bool) {
-        self.received_at_answer.set(self.view.received());
-        self.view.expect_head();
-        if !is_broken {
-            self.view.expect_flush();
-        }
-        self.set_phase(if closes { Phase::Closing } else { Phase::AwaitingRequest });
-    }
-
-    /// Upper bound of the time that the first request waited before its connection was accepted. Returns zero
-    /// from the second call on.
-    pub fn take_queue_time(&self) -> Duration {
-        self.queue_time.take()
-    }
-
-    /// Identifies the connection in events.
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-
-    /// Whether its client has read nothing of its answer for longer than allowed.
-    pub fn is_reader_stalled(&self) -> bool {
-        let now = Instant::now();
-        self.view
-            .write_stalled_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > READER_STALL_TIMEOUT)
-    }
-
-    /// Whether its client has not closed it.
-    pub fn client_is_connected(&self) -> bool {
-        self.view.is_open()
-    }
-
-    /// Whether a complete request has been received, and the kernel does not have the last byte of its answer.
-    pub fn owes_answer(&self) -> bool {
-        matches!(self.phase.get(), Phase::Answering | Phase::Streaming) || self.view.is_flush_pending()
-    }
-
-    /// Whether an answer has begun and its client goes on reading it.
-    pub fn answer_moves(&self, now: Instant) -> bool {
-        let is_written = self.phase.get() == Phase::Streaming || self.view.is_flush_pending();
-        let last_write = self.view.last_write().filter(|_| is_written);
-        last_write.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_PROGRESS_TIMEOUT)
-    }
-
-    /// Since when it is in its phase; a phase that follows an answer begins when the kernel has all of it.
-    fn phase_since(&self) -> Instant {
-        let since = self.phase_since.get();
-        self.view.flushed_at().map_or(since, |at| at.max(since))
-    }
-
-    fn close_permit(&self, wanted: CloseManner, reason: CloseReason) -> ClosePermit {
-        let facts =
-            ConnectionFacts { answer_pending: self.owes_answer(), has_unread: self.view.has_unread() };
-        close(facts, wanted, reason)
-    }
-
-    /// Asks for a close permit and requests the close that it allows.
-    fn close(&self, wanted: CloseManner, reason: CloseReason) {
-        let before = self.close_manner();
-        if before == Some(CloseManner::Immediate) {
-            return;
-        }
-        let permit = self.close_permit(wanted, reason);
-        let (manner, reason) = (permit.manner(), permit.reason());
-        if before != Some(manner) {
-            let at_once = manner == CloseManner::Immediate;
-            events::connection_closed(self.number, reason.name(), at_once, self.owes_answer());
-        }
-        self.requested_close.set(Some(RequestedClose { manner, reason }));
-        self.close_requested.notify_one();
-    }
-
-    fn close_manner(&self) -> Option<CloseManner> {
-        self.requested_close.get().map(|requested| requested.manner)
-    }
-
-    /// Waits until a close is requested, or a faster one than before. Its permit is asked for again: a request
-    /// may have arrived in the meantime.
-    pub async fn wait_for_close(&self) -> CloseManner {
-        self.close_requested.notified().await;
-        let Some(RequestedClose { manner, reason }) = self.requested_close.get() else {
-            return CloseManner::Graceful;
-        };
-        let manner = self.close_permit(manner, reason).manner();
-        self.requested_close.set(Some(RequestedClose { manner, reason }));
-        manner
-    }
-
-    /// The close that is due now because a timeout has passed.
-    fn due_close(&self, now: Instant) -> Option<(CloseManner, CloseReason)> {
-        let received = self.view.received();
-        if self.phase.get() == Phase::AwaitingRequest && received > self.received_at_answer.get() {
-            self.phase.set(Phase::ReadingHead);
-            self.phase_since.set(now);
-        }
-        let age = now.saturating_duration_since(self.phase_since());
-        match self.phase.get() {
-            _ if self.is_reader_stalled() => Some((CloseManner::Immediate, CloseReason::StuckReader)),
-            Phase::AwaitingRequest | Phase::Closing if self.owes_answer() => None,
-            Phase::AwaitingRequest if self.used.get() => {
-                (age > IDLE_TIMEOUT).then_some((CloseManner::Graceful, CloseReason::Idle))
-            }
-            Phase::AwaitingRequest => {
-                (age > FIRST_REQUEST_TIMEOUT).then_some((CloseManner::Immediate, CloseReason::Silent))
-            }
-            Phase::ReadingHead => {
-                (age > HEAD_TIMEOUT).then_some((CloseManner::Immediate, CloseReason::HeadOverdue))
-            }
-            Phase::Closing => {
-                (age > FINAL_CLOSE_TIMEOUT).then_some((CloseManner::Immediate, CloseReason::TurnedAway))
-            }
-            Phase::ReadingBody | Phase::Answering | Phase::Streaming => None,
-        }
-    }
-
-    /// Order of eviction, lowest first; `None` if it must not be evicted.
-    fn eviction_rank(&self, now: Instant) -> Option<(u8, Instant)> {
-        let since = self.phase_since();
-        let age = now.saturating_duration_since(since);
-        let has_input = self.view.received() > self.received_at_answer.get();
-        let rank = match self.phase.get() {
-            _ if self.close_manner().is_some() || self.owes_answer() => None,
-            Phase::Answering | Phase::Streaming => None,
-            Phase::Closing => (age > READING_EVICTION_AGE).then_some(0),
-            Phase::AwaitingRequest if !self.used.get() && !has_input => {
-                (age > SILENT_EVICTION_AGE).then_some(0)
-            }
-            Phase::AwaitingRequest if self.used.get() && !has_input => Some(2),
-            Phase::AwaitingRequest | Phase::ReadingHead | Phase::ReadingBody => {
-                (age > READING_EVICTION_AGE).then_some(1)
-            }
-        };
-        rank.map(|rank| (rank, since))
-    }
-}
 
 /// The slots of all client connections.
 #[derive(Default)]
@@ -302,18 +43,7 @@
     /// Registers a connection. `queue_time` is an upper bound of its time in the listener's queue.
     pub fn register(&self, view: ConnectionView, queue_time: Duration) -> SlotGuard<'_> {
         let number = self.next_number.replace(self.next_number.get() + 1);
-        let slot = Rc::new(ConnectionSlot {
-            number,
-            queue_time: Cell::new(queue_time),
-            view,
-            phase: Cell::new(Phase::AwaitingRequest),
-            phase_since: Cell::new(Instant::now()),
-            used: Cell::new(false),
-            reused: Cell::new(false),
-            received_at_answer: Cell::new(0),
-            requested_close: Cell::new(None),
-            close_requested: Notify::new(),
-        });
+        let slot = Rc::new(ConnectionSlot::new(number, view, queue_time));
         let mut slots = self.slots.borrow_mut();
         if slots.is_empty() {
             self.non_empty.notify_one();
@@ -341,9 +71,7 @@
         loop {
             let ranked = slots.values().filter_map(|slot| Some((slot.eviction_rank(now)?, slot)));
             let Some(((rank, _), slot)) = ranked.min_by_key(|(rank, _)| *rank) else { return };
-            if rank == 0 && slot.phase.get() == Phase::AwaitingRequest && slot.view.has_unread() {
-                // Bytes have arrived that hyper has not read yet.
-                slot.set_phase(Phase::ReadingHead);
+            if rank == 0 && slot.notice_unread() {
                 continue;
             }
             // The client of a connection that has been used may just be sending a request on it.
@@ -363,15 +91,11 @@
             }
         }
         let is_idle = |slot: &&Rc<ConnectionSlot>| {
-            let idle = slot.phase.get() == Phase::AwaitingRequest
-                && slot.used.get()
-                && !slot.owes_answer()
-                && slot.close_manner().is_none();
-            idle && now.saturating_duration_since(slot.phase_since()) > CROWDED_IDLE_TIMEOUT
+            slot.idle_since().is_some_and(|since| now.saturating_duration_since(since) > CROWDED_IDLE_TIMEOUT)
         };
         let mut idle_slots: Vec<_> =
             if slots.len() > max_open { slots.values().filter(is_idle).collect() } else { Vec::new() };
-        idle_slots.sort_by_key(|slot| (slot.reused.get(), slot.phase_since()));
+        idle_slots.sort_by_key(|slot| (slot.is_reused(), slot.phase_since()));
         for slot in idle_slots.into_iter().take(slots.len().saturating_sub(max_open)) {
             slot.close(CloseManner::Graceful, CloseReason::Crowded);
         }
@@ -399,9 +123,7 @@
     pub fn owed(&self) -> usize {
         self.slots.borrow().values().filter(|slot| slot.is_busy() || slot.has_partial_request()).count()
     }
-}
 
-impl ConnectionSlots {
     /// Number of connections that owe the answer to a complete request.
     pub fn unanswered(&self) -> usize {
         self.slots.borrow().values().filter(|slot| slot.owes_answer()).count()
--- a/agent/src/frontend/http/validation.rs
+++ b/agent/src/frontend/http/validation.rs
@@ -1,6 +1,6 @@
 //! Reads a client's request and validates it before anything else is done for it.
 
-use super::slots::ConnectionSlot;
+use super::connection_slot::ConnectionSlot;
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::requests::RequestAttributes;
 use crate::upstream::attempt::Call;
