--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -7,6 +7,7 @@
 pub use crate::standins::discovery::{Ailment, Spoil};
 use crate::standins::discovery::{Registry, View};
 use crate::standins::http::{answer, Message};
+use crate::standins::kernel_sockets::wait_for_sockets;
 use crate::world::platform;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -189,41 +190,6 @@
     }
 }
 
-/// A socket as the machine's own table has it.
-struct KernelSocket {
-    local: SocketAddr,
-    remote: SocketAddr,
-    state: String,
-}
-
-impl KernelSocket {
-    /// Reads a line of the table; `None` for its heading.
-    fn parse(line: &str) -> Option<KernelSocket> {
-        let mut words = line.split_ascii_whitespace().skip(1);
-        let mut address = || {
-            let (ip, port) = words.next()?.split_once(':')?;
-            let ip = u32::from_str_radix(ip, 16).ok()?.to_ne_bytes();
-            Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
-        };
-        let (local, remote) = (address()?, address()?);
-        Some(KernelSocket { local, remote, state: words.next()?.to_string() })
-    }
-}
-
-/// Waits until the machine's table of sockets is as wanted.
-fn wait_for_sockets(complaint: &str, is_wanted: impl Fn(&[KernelSocket]) -> bool) {
-    let start = Instant::now();
-    loop {
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
-        let sockets: Vec<KernelSocket> = table.lines().filter_map(KernelSocket::parse).collect();
-        if is_wanted(&sockets) {
-            return;
-        }
-        assert!(start.elapsed() < BOUND, "{complaint}");
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
 /// A server whose connections a test holds in its hands.
 pub struct RawBackend {
     /// Where it listens.
--- a/lab/src/standins/mod.rs
+++ b/lab/src/standins/mod.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod hand;
 pub mod http;
+mod kernel_sockets;
 pub mod link;
 pub mod office;
 pub mod rude;
