A client that has reset its connection is owed no answer, also behind unread bytes

Cause: since an answer is owed until the kernel has it, the answer to a client that has gone is unwritten too, and the check asks the kernel whether the client is connected. Behind bytes that were not read the kernel shows those, and no reset. A write that failed is remembered now: after it the connection isn't open. Only the counter was wrong, no answer was lost.

--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -57,6 +57,8 @@
     write_stalled_since: Cell<Option<Instant>>,
     /// When the kernel last took bytes for sending.
     last_write: Cell<Option<Instant>>,
+    /// A write has failed. The kernel reports a reset once, and then as an end behind the unread bytes.
+    write_failed: Cell<bool>,
     /// hyper has the end of a message that the kernel may not have yet.
     flush_pending: Cell<bool>,
     /// When the kernel had taken the last byte of a message.
@@ -195,7 +197,10 @@
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if is_retryable(&e) => {}
-                Err(e) => return Poll::Ready(Err(e)),
+                Err(e) => {
+                    self.state.write_failed.set(true);
+                    return Poll::Ready(Err(e));
+                }
             }
         }
     }
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -163,7 +163,9 @@
 
     /// Whether the peer has not closed and the connection is not broken, as far as the kernel knows.
     pub fn is_open(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
+        let Some(stream) = self.stream.upgrade().filter(|_| !self.state.write_failed.get()) else {
+            return false;
+        };
         match peek(&stream) {
             Ok(bytes) => bytes > 0,
             Err(e) => e.kind() == io::ErrorKind::WouldBlock,
--- a/agent/tests/loopback/slow_readers.rs
+++ b/agent/tests/loopback/slow_readers.rs
@@ -256,3 +256,23 @@
         assert!(!is_open, "a connection whose client reads nothing stays open");
     }
 }
+
+/// Guards against: a client that had reset its connection behind bytes that were not read yet counted as
+/// connected, and the answer that could not be written to it as a violation.
+#[test]
+fn an_answer_to_a_client_that_has_reset_its_connection_is_not_owed() {
+    let (agent, _discovery, _backend) = start(1024);
+    let mut client = Client::to(&agent);
+    let readiness = "GET /health/ready HTTP/1.1\r\nHost: agent\r\n\r\n";
+    assert_eq!(client.ask(readiness).status(), 200);
+    agent.freeze();
+    // More than the agent reads at once.
+    client.write(&format!("{readiness}{}", "x".repeat(20_000)));
+    socket2::SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(client);
+    agent.thaw();
+    agent.catch_up();
+    let permits = Client::at(agent.admin.unwrap()).ask("GET /permits HTTP/1.1\r\nHost: agent\r\n\r\n");
+    let permits = String::from_utf8(permits.body).unwrap();
+    assert!(permits.contains(r#""violations":0"#), "{permits}");
+}
