Log and count why attempts end and requests are rejected; levels of memory and clients

Events: the address and generation of each attempt, the error behind its outcome, rejected requests with connection and reason. Counters by error (connection-ended, answer-invalid, answer-stalled, answer-no-memory, request-not-read, answer-in-doubt) and requests-rejected; the line of levels has clients, body-bytes and resident-kb. Outcomes are the same as before: an answer that stalls and one without memory were told as invalid.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -8,6 +8,7 @@
 use crate::frontend::http::validation::{Class, RequestRules};
 use crate::list::DiscoveryCommands;
 use crate::log::{log, log_events, set_line_rate, EventLevel};
+use crate::metrics::resident_kilobytes;
 use crate::sharing::file::ConnectionShare;
 use std::future::{pending, Future};
 use std::net::SocketAddr;
@@ -58,7 +59,15 @@
         let server = Server::new(driver.clone(), Rc::clone(&clients), request_rules, client_limits);
         let tally = config.metrics_interval.map(|every| {
             driver.metrics().enable();
-            task(driver.clone().log_metrics(every))
+            let (levels_server, levels_bodies) = (Rc::clone(&server), Rc::clone(&core.bodies));
+            let levels = move || {
+                vec![
+                    ("clients", levels_server.connections().open),
+                    ("body-bytes", levels_bodies.held()),
+                    ("resident-kb", resident_kilobytes()),
+                ]
+            };
+            task(driver.clone().log_metrics(every, levels))
         });
         let mut tasks = vec![task(driver.clone().run()), task(Rc::clone(&server).sweep())];
         tasks.extend(tally);
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -143,12 +143,15 @@
         self.pool().metrics()
     }
 
-    /// Logs the counters every `period` for as long as the agent lives.
-    pub async fn log_metrics(self, period: Duration) {
+    /// Logs the counters every `period` for as long as the agent lives, with the levels of the driver and
+    /// `own_levels`.
+    pub async fn log_metrics(self, period: Duration, own_levels: impl Fn() -> Vec<(&'static str, usize)>) {
         let levels = || {
             let (open, idle) = self.pool().levels();
             let core = self.0.core.borrow();
-            vec![("open", open), ("idle", idle), ("serving", core.servers.serving_count())]
+            let mut levels = vec![("open", open), ("idle", idle), ("serving", core.servers.serving_count())];
+            levels.extend(own_levels());
+            levels
         };
         self.metrics().clone().log_periodically(period, levels).await;
     }
@@ -255,7 +258,10 @@
         let finished =
             self.0.core.borrow_mut().requests.finish_attempt(id, attempt, ended.outcome, ended.served);
         self.metrics().count(Count::Outcome(ended.outcome));
-        events::attempt_ended(id, attempt, ended.outcome, sent.elapsed());
+        if let Some(error) = ended.error {
+            self.metrics().count(Count::AnswerError(error));
+        }
+        events::attempt_ended(id, attempt, ended.outcome, ended.error, sent.elapsed());
         let Some(closed) = finished else { return };
         self.dispatch(Event::Outcome {
             request: id,
--- a/agent/src/driver/attempts.rs
+++ b/agent/src/driver/attempts.rs
@@ -27,9 +27,9 @@
         let until = self.0.clock.instant(timeout_at).min(deadline - ATTEMPT_RESERVE);
         // A streamed request is sent only once, and its deadline starts when its last byte has arrived.
         let begin_by = call.upload.is_none().then(|| self.0.clock.instant(begin_by));
-        events::attempt_ordered(id, attempt, server, until);
         let in_time = call.upload.is_some() || until > now;
         let server_endpoint = if may_send && in_time { core.servers.add_in_flight(server) } else { None };
+        events::attempt_ordered(id, attempt, server, server_endpoint, until);
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = match server_endpoint {
--- a/agent/src/events.rs
+++ b/agent/src/events.rs
@@ -5,6 +5,8 @@
 //! They are `tracing` events at level DEBUG, written only where `deploy/events.toml` enables them. Without a
 //! subscriber of that level each event costs one comparison.
 
+use crate::upstream::body::AnswerError;
+use crate::upstream::pool::ServerEndpoint;
 use hyper::header::HeaderValue;
 use ryelead::{Outcome, Reason, RequestId, ServerId};
 use std::time::Duration;
@@ -41,11 +43,25 @@
     }
 }
 
-/// An attempt was ordered, and will be waited for until `until`.
-pub fn attempt_ordered(request: RequestId, attempt: u32, server: ServerId, until: Instant) {
+/// A client's request was rejected before it was admitted, for the given reason.
+pub fn request_rejected(connection: u64, status: u16, reason: &str) {
+    tracing::debug!(target: TARGET, connection, status, reason, "rejected");
+}
+
+/// An attempt was ordered, and will be waited for until `until`. `endpoint` is where it goes, if anywhere.
+pub fn attempt_ordered(
+    request: RequestId,
+    attempt: u32,
+    server: ServerId,
+    endpoint: Option<ServerEndpoint>,
+    until: Instant,
+) {
     if is_enabled() {
         let until_ms = milliseconds_until(until);
-        tracing::debug!(target: TARGET, request = request.0, attempt, server = server.0, until_ms, "attempt");
+        let address = endpoint.map(|endpoint| tracing::field::display(endpoint.address));
+        let generation = endpoint.map(|endpoint| endpoint.generation);
+        let server = server.0;
+        tracing::debug!(target: TARGET, request = request.0, attempt, server, address, generation, until_ms, "attempt");
     }
 }
 
@@ -59,11 +75,17 @@
     tracing::debug!(target: TARGET, request = request.0, attempt, reason, "attempt denied");
 }
 
-/// An attempt has ended.
-pub fn attempt_ended(request: RequestId, attempt: u32, outcome: Outcome, elapsed: Duration) {
+/// An attempt has ended; `error` says why there is no answer, if the connection or the answer was at fault.
+pub fn attempt_ended(
+    request: RequestId,
+    attempt: u32,
+    outcome: Outcome,
+    error: Option<AnswerError>,
+    elapsed: Duration,
+) {
     if is_enabled() {
-        let elapsed_ms = elapsed.as_millis() as u64;
-        tracing::debug!(target: TARGET, request = request.0, attempt, ?outcome, elapsed_ms, "attempt ended");
+        let (elapsed_ms, error) = (elapsed.as_millis() as u64, error.map(AnswerError::name));
+        tracing::debug!(target: TARGET, request = request.0, attempt, ?outcome, error, elapsed_ms, "attempt ended");
     }
 }
 
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -10,6 +10,7 @@
 use crate::events;
 use crate::log::log;
 use crate::metered_stream::{Gauge, MeteredStream};
+use crate::metrics::Count;
 use crate::permits::admission::admit;
 use crate::permits::closing::CloseManner;
 use crate::permits::lifecycle::{ExitPermit, IdlePolicy, OpenConnections};
@@ -272,7 +273,11 @@
             }
             Err(rejection) => Err(rejection),
         };
-        answer.unwrap_or_else(|(status, why)| rejection_response(status, why))
+        answer.unwrap_or_else(|(status, why)| {
+            self.driver.metrics().count(Count::Rejected);
+            events::request_rejected(slot.number(), status.as_u16(), why);
+            rejection_response(status, why)
+        })
     }
 
     async fn forward(
--- a/agent/src/memory_budget.rs
+++ b/agent/src/memory_budget.rs
@@ -17,6 +17,11 @@
         Rc::new(MemoryBudget { limit: Cell::new(bytes), held: Cell::new(0), freed: Notify::new() })
     }
 
+    /// Number of bytes that are reserved.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// Changes the limit to `bytes`. Reservations beyond it stay until they are dropped, and none are made
     /// meanwhile.
     pub fn set_limit(&self, bytes: usize) {
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -3,6 +3,7 @@
 
 use crate::answer_scanner::SurplusKind;
 use crate::log::log;
+use crate::upstream::body::AnswerError;
 use ryelead::{Outcome, Reason};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -33,6 +34,10 @@
     ListUnreadable,
     /// Attempts, by outcome.
     Outcome(Outcome),
+    /// Attempts without an answer, by what was wrong with the connection or the answer.
+    AnswerError(AnswerError),
+    /// Requests of clients that were rejected before they were admitted.
+    Rejected,
     /// Failed probes.
     ProbeFailed,
     /// Requests refused or failed by the decision module, by reason.
@@ -81,6 +86,8 @@
             Count::Outcome(Outcome::ConnectionReset) => "reset",
             Count::Outcome(Outcome::Cancelled) => "cancelled",
             Count::Outcome(Outcome::NotSent) => "not-sent",
+            Count::AnswerError(error) => error.name(),
+            Count::Rejected => "requests-rejected",
             Count::ProbeFailed => "probes-failed",
             Count::GivenUp(reason) => reason.name(),
             Count::PeerPacket => "peer-packets",
@@ -93,6 +100,13 @@
     }
 }
 
+/// The resident memory of this process in KiB, by the kernel's account; 0 if it can't be read.
+pub fn resident_kilobytes() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or_default()
+}
+
 /// The counters of one agent; clones share them.
 #[derive(Clone, Default)]
 pub struct Metrics(Rc<Counters>);
--- a/agent/src/upstream/attempt.rs
+++ b/agent/src/upstream/attempt.rs
@@ -1,6 +1,7 @@
 //! The parts of an attempt: the request that it carries, the result that it ends with, and the calls to its
 //! owner.
 
+use super::body::AnswerError;
 use super::streaming::StreamedAnswer;
 use super::upload::Upload;
 use crate::memory_budget::MemoryReservation;
@@ -69,11 +70,20 @@
     pub served: Option<Served>,
     /// When the answer began, if it was streamed.
     pub began: Option<Instant>,
+    /// Why there is no answer, if the connection or the answer was at fault.
+    pub error: Option<AnswerError>,
+}
+
+impl AttemptResult {
+    /// An attempt that ended with this outcome because of an error.
+    pub(super) fn of_error(outcome: Outcome, error: AnswerError) -> Self {
+        AttemptResult { error: Some(error), ..outcome.into() }
+    }
 }
 
 impl From<Outcome> for AttemptResult {
     fn from(outcome: Outcome) -> Self {
-        AttemptResult { outcome, report: None, served: None, began: None }
+        AttemptResult { outcome, report: None, served: None, began: None, error: None }
     }
 }
 
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -148,7 +148,7 @@
                     };
                     // The report is as old as the head of the answer, but the decision module would take it
                     // for a current one.
-                    return AttemptResult { outcome, report: None, served: None, began };
+                    return AttemptResult { began, ..outcome.into() };
                 }
                 // A pooled connection that ended before anything was written to it says nothing about the
                 // server, and no attempt was made: the next one is tried. A new connection that ends like
@@ -159,8 +159,12 @@
                 {
                     progress.set(Stage::NotSent);
                 }
-                Err(AnswerError::Connection) if written < min_bytes => return Outcome::ConnectFailed.into(),
-                Err(_) => return Outcome::ConnectionReset.into(),
+                Err(error @ (AnswerError::Connection | AnswerError::RequestNotRead))
+                    if written < min_bytes =>
+                {
+                    return AttemptResult::of_error(Outcome::ConnectFailed, error);
+                }
+                Err(error) => return AttemptResult::of_error(Outcome::ConnectionReset, error),
             }
         }
     }
@@ -191,8 +195,8 @@
         tokio::select! {
             biased;
             answer = complete => answer,
-            () = answer_stalled(&view, received, &saw_informational) => Err(AnswerError::Invalid),
-            () = write_stalled(&view), if is_long => Err(AnswerError::Connection),
+            () = answer_stalled(&view, received, &saw_informational) => Err(AnswerError::Stalled),
+            () = write_stalled(&view), if is_long => Err(AnswerError::RequestNotRead),
         }
     }
 
@@ -224,7 +228,7 @@
         }
         let buffer_max =
             framing.map_or(BUFFERED_ANSWER_MAX, |length| BUFFERED_ANSWER_MAX.min(length as usize));
-        let reservation = self.bodies.take(buffer_max).ok_or(AnswerError::Invalid)?;
+        let reservation = self.bodies.take(buffer_max).ok_or(AnswerError::NoMemory)?;
         let mut first = BytesMut::with_capacity(framing.map_or(0, |_| buffer_max));
         let complete = async {
             while let Some(frame) = body.frame().await {
@@ -251,7 +255,7 @@
             (true, _) => {
                 let served = (outcome == Outcome::Success)
                     .then_some(Served { body: ServedBody::Complete(first, reservation), content_type });
-                Ok(ReceivedAnswer::Buffered(AttemptResult { outcome, report, served, began: None }))
+                Ok(ReceivedAnswer::Buffered(AttemptResult { report, served, ..outcome.into() }))
             }
             (false, Outcome::Success) => Ok(ReceivedAnswer::Streamed(AnswerStart {
                 content_type,
