--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -15,6 +15,7 @@
 mod outcomes;
 mod reload;
 mod slow_readers;
+mod slow_servers;
 mod stopping;
 mod surplus;
 mod system_faults;
--- a/lab/src/standins/booking/mod.rs
+++ b/lab/src/standins/booking/mod.rs
@@ -48,6 +48,15 @@
     Last(String),
     /// Writes these one after the other, with a pause between that is longer than an answer may stall.
     Parts(Vec<String>),
+    /// Writes these one after the other with this pause between them, and then ends the connection if told so.
+    Paced {
+        /// What is written.
+        parts: Vec<String>,
+        /// The pause between two of them.
+        pause: std::time::Duration,
+        /// Whether the connection ends after the last one.
+        ends: bool,
+    },
     /// Says nothing until the agent gives up.
     Silence,
     /// Waits until the gate is opened once more, then answers this.
--- a/lab/src/standins/booking/shell.rs
+++ b/lab/src/standins/booking/shell.rs
@@ -704,12 +704,17 @@
             Some(Close::Gently)
         }
         Act::Parts(texts) => {
-            for text in texts {
-                let _ = output.write_all(text.as_bytes()).await;
-                sleep(PART_PAUSE).await;
-            }
+            write_paced(output, texts, PART_PAUSE).await;
+            sleep(PART_PAUSE).await;
             None
         }
+        Act::Paced { parts, pause, ends } => {
+            write_paced(output, parts, pause).await;
+            if ends {
+                let _ = output.shutdown().await;
+            }
+            ends.then_some(Close::Gently)
+        }
         Act::Silence => {
             let _ = reader.next(|_, _| false).await;
             Some(Close::Gently)
@@ -722,3 +727,14 @@
         }
     }
 }
+
+async fn write_paced(output: &mut OwnedWriteHalf, parts: Vec<String>, pause: Duration) {
+    for (index, part) in parts.into_iter().enumerate() {
+        if index > 0 {
+            sleep(pause).await;
+        }
+        if output.write_all(part.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
