--- a/agent/tests/loopback/slow_servers.rs
+++ b/agent/tests/loopback/slow_servers.rs
@@ -5,10 +5,10 @@
 use dilljunction_lab::standins::booking::Act;
 use dilljunction_lab::standins::hand::*;
 use dilljunction_lab::standins::http::Message;
-use std::io::Read;
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How the end of an answer is known.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -152,3 +152,63 @@
         assert_eq!(unsafe_requests, 12, "each unsafe request ran once");
     }
 }
+
+/// Bytes that a slow reader takes at once, and the pause before the next: 80 kB a second.
+const READ_STEP: usize = 8_000;
+const READ_PAUSE: Duration = Duration::from_millis(100);
+/// The protocol's slack on each time limit.
+const TIME_SLACK: Duration = Duration::from_millis(50);
+
+/// A server that reads requests slowly and never answers.
+fn slow_reader() -> SocketAddr {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(16 * 1024).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(128).unwrap();
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            thread::spawn(move || {
+                let mut piece = [0; READ_STEP];
+                while stream.read(&mut piece).is_ok_and(|n| n > 0) {
+                    thread::sleep(READ_PAUSE);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Sends an unsafe upload of `length` bytes; how long its final answer took from its last byte on.
+fn upload(agent: SocketAddr, length: usize, budget_ms: u64) -> Option<Duration> {
+    let mut client = Client::at(agent);
+    let head = format!("Content-Length: {length}\r\n\r\n");
+    client.write(&last_request("once", budget_ms).replace("Content-Length: 4\r\n\r\nbody", &head));
+    // An answer may come before the whole request has been taken.
+    let _ = client.stream.write_all(&vec![b'x'; length]);
+    let written = Instant::now();
+    client.read().map(|_| written.elapsed())
+}
+
+/// The final answer to an upload comes in time, however long its bytes have lain unread: a request that waits
+/// for a server is not read, and its client's time runs all the same.
+#[test]
+fn the_final_answer_to_an_unread_upload_comes_in_time() {
+    const UPLOADS: usize = 80;
+    const BUDGET_MS: u64 = 600;
+    let servers = [slow_reader(), slow_reader(), slow_reader()];
+    let (agent, _discovery) = start(&servers);
+    let address = agent.address;
+    let clients: Vec<_> = (0..UPLOADS)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(10));
+            thread::spawn(move || upload(address, 400_000, BUDGET_MS))
+        })
+        .collect();
+    let took: Vec<Option<Duration>> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let limit = Duration::from_millis(BUDGET_MS) + TIME_SLACK;
+    let late: Vec<_> = took.iter().filter(|took| took.is_none_or(|took| took > limit)).collect();
+    assert!(late.is_empty(), "{} of {UPLOADS} final answers late: {late:?}", late.len());
+}
