A stalled answer is hedged and its attempt goes on: silence is not the end of an answer

Change: silence ends no attempt. The decision module is told that an answer has begun and that it stalls, and hedges the request where class, settings and the retry budget allow a second attempt; the first one stays, the first whole answer is served, and stalled attempts are cancelled behind it. An unsafe request ends with its own time alone. A server whose answer has begun is not silent; its stalled answers hold no place, and a late end counts as a late answer. An answer that is still arriving when its time is over is forwarded and may be late, but not while the process ends. A streamed answer, or a server that reads nothing of a streamed request, is not given up before the request's own time. A body that waits for memory waits within its own time.

The random walk of the module now plays answers that stall.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -25,9 +25,6 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, sleep_until, Instant};
 
-/// Attempts are waited for until this long before the client's deadline, so that the decision module can
-/// still choose the final answer, and that can still reach the client.
-const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
 /// How often connections that have been idle too long, and removed servers, are looked for.
 const RETIRE_EVERY: Duration = Duration::from_millis(500);
 
--- a/agent/src/driver/attempts.rs
+++ b/agent/src/driver/attempts.rs
@@ -1,7 +1,7 @@
 //! Attempts and probes that the decision module has ordered. Each is a task that requests a permit, is waited
 //! for no longer than its request and the process have time, and reports its outcome.
 
-use super::{Driver, ATTEMPT_RESERVE};
+use super::Driver;
 use crate::events;
 use crate::metrics::Count;
 use crate::permits::attempt::{
@@ -9,13 +9,13 @@
 };
 use crate::permits::violations::BegunAttempt;
 use crate::requests::OrderedAttempt;
-use crate::upstream::attempt::{AttemptOwner, AttemptResult, Call, Progress, Served, Stage};
+use crate::upstream::attempt::{AttemptOwner, AttemptResult, Call, Progress, Served, Stage, ATTEMPT_RESERVE};
 use crate::upstream::pool::ServerEndpoint;
 use ryelead::*;
 use std::cell::RefCell;
 use std::pin::pin;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 
 impl Driver {
     pub(super) fn send(&self, id: RequestId, server: ServerId, begin_by: Time, timeout_at: Time) {
@@ -58,8 +58,10 @@
         let progress = Progress::default();
         let mut exchange = pin!(self.0.backends.attempt(server_endpoint, call, until, &progress, owner));
         let given_up = tokio::select! {
+            // An answer that is forwarded late begins at the moment at which its attempt would end.
+            biased;
             ended = exchange.as_mut() => return ended,
-            () = time_up(call, until) => Outcome::TimedOut,
+            () = call.time_up(until) => Outcome::TimedOut,
             () = self.process_ends(ATTEMPT_RESERVE) => Outcome::TimedOut,
             Ok(()) = cancelled => Outcome::Cancelled,
         };
@@ -161,15 +163,6 @@
     }
 }
 
-/// Completes when the time for an attempt is over; for a streamed request the time starts when its body is
-/// complete.
-async fn time_up(call: &Call, until: Instant) {
-    match &call.upload {
-        Some(upload) => sleep_until(upload.completed().await - ATTEMPT_RESERVE).await,
-        None => sleep_until(until).await,
-    }
-}
-
 /// An attempt that received its permit, and the state of its request at that time.
 struct Begun {
     first_byte: FirstByte,
@@ -207,9 +200,27 @@
         self.driver.dispatch(Event::Committed { request: self.id, attempt });
     }
 
+    fn answer_begun(&self) {
+        events::answer_begun(self.id, self.attempt);
+        let attempt = AttemptNo(self.attempt);
+        self.driver.dispatch(Event::AnswerBegun { request: self.id, attempt });
+    }
+
+    fn answer_stalled(&self) {
+        events::answer_stalled(self.id, self.attempt);
+        self.driver.metrics().count(Count::AnswerStalled);
+        let attempt = AttemptNo(self.attempt);
+        self.driver.dispatch(Event::AnswerStalled { request: self.id, attempt });
+    }
+
+    fn may_forward_late(&self) -> bool {
+        self.driver.0.answers_by.borrow().is_none()
+    }
+
     fn start_answer(&self, served: Served) -> bool {
         let first = self.driver.0.core.borrow_mut().requests.begin_answer(self.id, served);
         if first {
+            events::answer_forwarded(self.id, self.attempt);
             let attempt = AttemptNo(self.attempt);
             self.driver.dispatch(Event::FirstByte { request: self.id, attempt });
         }
--- a/agent/src/events.rs
+++ b/agent/src/events.rs
@@ -89,6 +89,21 @@
     }
 }
 
+/// Part of an answer has arrived, and the rest has not.
+pub fn answer_begun(request: RequestId, attempt: u32) {
+    tracing::debug!(target: TARGET, request = request.0, attempt, "answer begins");
+}
+
+/// Nothing more of an answer that has begun has arrived for some time; its attempt goes on.
+pub fn answer_stalled(request: RequestId, attempt: u32) {
+    tracing::debug!(target: TARGET, request = request.0, attempt, "answer stalls");
+}
+
+/// An answer is forwarded while it arrives, and no other attempt can answer any more.
+pub fn answer_forwarded(request: RequestId, attempt: u32) {
+    tracing::debug!(target: TARGET, request = request.0, attempt, "answer is streamed");
+}
+
 /// Bytes have arrived behind the end of an answer; `sample` holds the first of them.
 pub fn surplus_received(server: ServerId, kind: &str, bytes: u64, sample: &[u8]) {
     if is_enabled() {
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -36,6 +36,8 @@
     Outcome(Outcome),
     /// Attempts without an answer, by what was wrong with the connection or the answer.
     AnswerError(AnswerError),
+    /// Times that nothing more of an answer that had begun arrived.
+    AnswerStalled,
     /// Requests of clients that were rejected before they were admitted.
     Rejected,
     /// Failed probes.
@@ -87,6 +89,7 @@
             Count::Outcome(Outcome::Cancelled) => "cancelled",
             Count::Outcome(Outcome::NotSent) => "not-sent",
             Count::AnswerError(error) => error.name(),
+            Count::AnswerStalled => "answers-silent",
             Count::Rejected => "requests-rejected",
             Count::ProbeFailed => "probes-failed",
             Count::GivenUp(reason) => reason.name(),
--- a/agent/src/upstream/attempt.rs
+++ b/agent/src/upstream/attempt.rs
@@ -12,7 +12,12 @@
 use ryelead::Outcome;
 use std::cell::Cell;
 use std::rc::Rc;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{sleep_until, Instant};
+
+/// Attempts are waited for until this long before the client's deadline, so that the decision module can
+/// still choose the final answer, and that can still reach the client.
+pub const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
 
 /// A client's request as it is sent to a server.
 pub struct Call {
@@ -31,6 +36,15 @@
 }
 
 impl Call {
+    /// Completes when the time for an attempt is over: at `until`, or for a streamed request
+    /// [`ATTEMPT_RESERVE`] before the deadline that starts when its body is complete.
+    pub async fn time_up(&self, until: Instant) {
+        match &self.upload {
+            Some(upload) => sleep_until(upload.completed().await - ATTEMPT_RESERVE).await,
+            None => sleep_until(until).await,
+        }
+    }
+
     /// Lower bound of the size of the message in bytes: with fewer bytes written, the server can't have all
     /// of it. `u64::MAX` while the body is incomplete.
     pub(super) fn min_bytes(&self) -> u64 {
@@ -121,6 +135,13 @@
     fn permit(&self) -> Option<AttemptPermit>;
     /// Called before a streamed request is sent: no other attempt can send it afterwards.
     fn commit(&self);
+    /// Called when part of an answer has arrived and the rest has not.
+    fn answer_begun(&self);
+    /// Called each time that nothing more of an answer that has begun has arrived for some time.
+    fn answer_stalled(&self);
+    /// Whether an answer that is still incomplete when the time of its attempt is over may be forwarded. A
+    /// process that is shutting down has no time for the rest.
+    fn may_forward_late(&self) -> bool;
     /// Called when a streamed answer begins; returns false if the request has been answered already.
     fn start_answer(&self, served: Served) -> bool;
 }
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -1,5 +1,6 @@
 //! Attempts and probes: sends a request to a server and turns the answer into an outcome.
 
+use super::answer_arrival::AnswerArrival;
 use super::answer_end::AnswerEnd;
 use super::attempt::{AttemptOwner, AttemptResult, Call, Progress, Served, ServedBody, Stage};
 use super::body::{AnswerError, BODY_MAX, BUFFERED_ANSWER_MAX, STREAMING_MEMORY_MAX};
@@ -17,12 +18,13 @@
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::{Outcome, ServerId};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Maximum number of bytes read for a buffered answer: a body in small chunks, its head, and any 1xx answers
 /// before it.
@@ -30,14 +32,8 @@
 /// Maximum number of bytes read for a streamed answer: a body in chunks of a few bytes takes several times
 /// its length.
 const STREAMED_READ_MAX: u64 = 8 * BODY_MAX;
-/// A buffered answer that has begun fails when no more of it arrives for this long. Waiting longer would last
-/// to the end of the attempt's time.
-const STALL_TIMEOUT: Duration = Duration::from_millis(100);
-/// An answer without a stated length that has not ended after this time is streamed. One that has stalled has
-/// failed before.
-const BUFFER_TIMEOUT: Duration = Duration::from_millis(150);
-/// A streamed request fails when the server reads nothing of it for this long; `WRITE_STALL_CHECK_INTERVAL`
-/// is the interval of the check.
+/// A streamed request fails when the server reads nothing of it for this long, or for the client's budget if that
+/// is longer; `WRITE_STALL_CHECK_INTERVAL` is the interval of the check.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 const WRITE_STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time limit of a probe.
@@ -104,7 +100,7 @@
             let (before, received) = (view.written(), view.received());
             let end = self.answer_end(server_endpoint.server, &view);
             let request = build_request(call, server_endpoint.address, until);
-            let answer = self.exchange(&mut lease, permit, request, &end).await;
+            let answer = self.exchange(&mut lease, permit, request, &end, (call, until), owner).await;
             let (written, min_bytes) = (view.written() - before, call.min_bytes());
             let upload = call.upload.as_ref();
             if upload.is_some_and(|upload| upload.is_aborted()) {
@@ -132,7 +128,8 @@
                     progress.set(Stage::Streaming);
                     let began = Some(Instant::now());
                     view.limit_reads(STREAMED_READ_MAX);
-                    let (streaming, stream_end) = StreamedAnswer::new(first, rest, lease, end, reservations);
+                    let (streaming, stream_end) =
+                        StreamedAnswer::new(first, rest, lease, end, until, reservations);
                     let body = ServedBody::Stream(Box::new(streaming));
                     let outcome = if !owner.start_answer(Served { body, content_type }) {
                         Outcome::Cancelled
@@ -176,27 +173,30 @@
         permit: AttemptPermit,
         mut request: Request<RequestBody>,
         end: &AnswerEnd,
+        time: (&Call, Instant),
+        owner: &impl AttemptOwner,
     ) -> Result<ReceivedAnswer, AnswerError> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(AnswerError::Connection)?;
-        // 1xx answers come before the final answer, which may take longer than `STALL_TIMEOUT` after them.
+        // 1xx answers come before the final answer, and are no part of it.
         let saw_informational = Arc::new(AtomicBool::new(false));
         let informational_flag = Arc::clone(&saw_informational);
         hyper::ext::on_informational(&mut request, move |_| {
             informational_flag.store(true, Ordering::Relaxed)
         });
         let received = view.received();
-        let is_long = matches!(request.body(), RequestBody::Streamed(..));
+        let upload_budget = time.0.upload.as_ref().map(|upload| upload.budget);
         view.arm(permit, BUFFERED_READ_MAX);
+        let arrival = AnswerArrival::new();
         let complete = async {
             let answer = sender.try_send_request(request).await.map_err(|_| AnswerError::Connection)?;
-            self.read(answer, end).await
+            self.read(answer, end, time, &arrival, owner).await
         };
         tokio::select! {
             biased;
             answer = complete => answer,
-            () = answer_stalled(&view, received, &saw_informational) => Err(AnswerError::Stalled),
-            () = write_stalled(&view), if is_long => Err(AnswerError::RequestNotRead),
+            never = arrival.watch(&view, received, &saw_informational, owner) => match never {},
+            () = write_stalled(&view, upload_budget.unwrap_or_default()), if upload_budget.is_some() => Err(AnswerError::RequestNotRead),
         }
     }
 
@@ -205,7 +205,14 @@
     }
 
     /// Reads an answer; stops early if it is to be streamed.
-    async fn read(&self, answer: Response<Incoming>, end: &AnswerEnd) -> Result<ReceivedAnswer, AnswerError> {
+    async fn read(
+        &self,
+        answer: Response<Incoming>,
+        end: &AnswerEnd,
+        (call, until): (&Call, Instant),
+        arrival: &AnswerArrival,
+        owner: &impl AttemptOwner,
+    ) -> Result<ReceivedAnswer, AnswerError> {
         let (head, mut body) = answer.into_parts();
         let framing = framing(head.status, &head.headers).ok_or(AnswerError::Invalid)?;
         let report = head.headers.get("x-load-report").and_then(|v| self.reports.parse(v.as_bytes()));
@@ -228,21 +235,26 @@
         }
         let buffer_max =
             framing.map_or(BUFFERED_ANSWER_MAX, |length| BUFFERED_ANSWER_MAX.min(length as usize));
-        let reservation = self.bodies.take(buffer_max).ok_or(AnswerError::NoMemory)?;
+        let reservation = tokio::select! {
+            biased;
+            reservation = self.bodies.take_when_free(buffer_max) => reservation,
+            () = call.time_up(until) => return Err(AnswerError::NoMemory),
+        };
         let mut first = BytesMut::with_capacity(framing.map_or(0, |_| buffer_max));
-        let complete = async {
-            while let Some(frame) = body.frame().await {
-                let Ok(data) = frame.map_err(|_| AnswerError::Invalid)?.into_data() else { continue };
-                first.extend_from_slice(&data);
-                if first.len() > buffer_max {
-                    return Ok(false);
+        let complete = tokio::select! {
+            biased;
+            complete = buffer(&mut body, &mut first, buffer_max) => complete?,
+            // An answer that is still arriving when its time is over may be late; one that is silent then has
+            // had its time.
+            () = call.time_up(until) => {
+                if !owner.may_forward_late() || arrival.is_silent() {
+                    pending::<()>().await;
                 }
+                false
             }
-            Ok(true)
-        };
-        let complete = match framing {
-            Some(_) => complete.await?,
-            None => timeout(BUFFER_TIMEOUT, complete).await.unwrap_or(Ok(false))?,
+            () = arrival.streaming_due(), if framing.is_none() => false,
+            // Nothing of an error is forwarded, and its request may have been executed in any case.
+            () = arrival.silence(), if outcome == Outcome::ServerError => return Err(AnswerError::Stalled),
         };
         let first = first.freeze();
         // The raw bytes of a chunked body differ from its contents.
@@ -294,28 +306,36 @@
 
     fn commit(&self) {}
 
+    fn answer_begun(&self) {}
+
+    fn answer_stalled(&self) {}
+
+    fn may_forward_late(&self) -> bool {
+        false
+    }
+
     fn start_answer(&self, _: Served) -> bool {
         false
     }
 }
 
-/// Waits until an answer has begun, is incomplete, and nothing more of it has arrived for `STALL_TIMEOUT`.
-async fn answer_stalled(view: &ConnectionView, received: u64, saw_informational: &AtomicBool) {
-    loop {
-        view.data_arrived().await;
-        if view.received() == received {
-            continue;
-        }
-        while timeout(STALL_TIMEOUT, view.data_arrived()).await.is_ok() {}
-        if !saw_informational.swap(false, Ordering::Relaxed) {
-            return;
+/// Reads a body into `buffer` to its end; returns false as soon as it is longer than `length_max`.
+async fn buffer(body: &mut Incoming, buffer: &mut BytesMut, length_max: usize) -> Result<bool, AnswerError> {
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| AnswerError::Invalid)?.into_data() else { continue };
+        buffer.extend_from_slice(&data);
+        if buffer.len() > length_max {
+            return Ok(false);
         }
     }
+    Ok(true)
 }
 
-/// Waits until a server has read nothing of a streamed request for `WRITE_STALL_TIMEOUT`.
-async fn write_stalled(view: &ConnectionView) {
-    while view.write_stalled_since().is_none_or(|since| since.elapsed() < WRITE_STALL_TIMEOUT) {
+/// Waits until a server has read nothing of a streamed request for `WRITE_STALL_TIMEOUT`, or for the client's
+/// `budget` if that is longer.
+async fn write_stalled(view: &ConnectionView, budget: Duration) {
+    let limit = WRITE_STALL_TIMEOUT.max(budget);
+    while view.write_stalled_since().is_none_or(|since| since.elapsed() < limit) {
         sleep(WRITE_STALL_CHECK_INTERVAL).await;
     }
 }
--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -3,6 +3,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 /// Permits the first byte or not, and takes no streamed answer.
 struct FixedPermit(bool);
@@ -14,6 +15,14 @@
 
     fn commit(&self) {}
 
+    fn answer_begun(&self) {}
+
+    fn answer_stalled(&self) {}
+
+    fn may_forward_late(&self) -> bool {
+        false
+    }
+
     fn start_answer(&self, _: Served) -> bool {
         false
     }
@@ -55,6 +64,14 @@
 
     fn commit(&self) {}
 
+    fn answer_begun(&self) {}
+
+    fn answer_stalled(&self) {}
+
+    fn may_forward_late(&self) -> bool {
+        false
+    }
+
     fn start_answer(&self, served: Served) -> bool {
         if let ServedBody::Stream(streaming) = served.body {
             tokio::task::spawn_local(streaming.collect());
--- a/agent/src/upstream/mod.rs
+++ b/agent/src/upstream/mod.rs
@@ -1,8 +1,10 @@
 //! The client side towards servers: attempts and probes, and the connections that carry them.
 //!
 //! The modules depend on one another in this order and never in reverse: `body`, `upload`, `pool` (with
-//! `idle_limit`), `answer_end`, `streaming`, `attempt`, `backend` (with `framing` and `load_report`).
+//! `idle_limit`), `answer_end`, `streaming`, `attempt`, `answer_arrival`, `backend` (with `framing` and
+//! `load_report`).
 
+mod answer_arrival;
 mod answer_end;
 pub mod attempt;
 pub mod backend;
--- a/agent/src/upstream/streaming.rs
+++ b/agent/src/upstream/streaming.rs
@@ -17,7 +17,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// A server that sends nothing of a streamed answer for this long, while the client waits, counts as failed.
+/// A server that sends nothing of a streamed answer for this long, while the client waits, counts as failed, but
+/// not before the time of its attempt is over.
 const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How a streamed answer ended, for the task that sent the request.
@@ -36,6 +37,8 @@
     /// Number of bytes that may still arrive.
     remaining: u64,
     stall: Pin<Box<Sleep>>,
+    /// The end of the attempt's time.
+    until: Instant,
     /// The client has polled for more than has arrived.
     client_waits: bool,
     /// `None` once the end has been reported. If it is dropped before that, the client has disconnected, and
@@ -64,6 +67,7 @@
         body: Incoming,
         lease: Lease,
         check: AnswerEnd,
+        until: Instant,
         reservations: (Option<MemoryReservation>, MemoryReservation),
     ) -> (StreamedAnswer, oneshot::Receiver<StreamEnd>) {
         let (end_sender, end) = oneshot::channel();
@@ -76,6 +80,7 @@
                 body,
                 remaining,
                 stall,
+                until,
                 client_waits: false,
                 end: Some((lease, end_sender)),
                 check: Some(check),
@@ -130,7 +135,8 @@
             let Poll::Ready(next) = Pin::new(&mut self.body).poll_frame(cx) else {
                 // The time limit for the server runs only while the client waits.
                 if !std::mem::replace(&mut self.client_waits, true) {
-                    self.stall.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    let limit = (Instant::now() + STALL_TIMEOUT).max(self.until);
+                    self.stall.as_mut().reset(limit);
                 }
                 ready!(self.stall.as_mut().poll(cx));
                 return self.fail();
--- a/agent/tests/loopback/slow_servers.rs
+++ b/agent/tests/loopback/slow_servers.rs
@@ -212,3 +212,27 @@
     let late: Vec<_> = took.iter().filter(|took| took.is_none_or(|took| took > limit)).collect();
     assert!(late.is_empty(), "{} of {UPLOADS} final answers late: {late:?}", late.len());
 }
+
+/// The first attempt stays while its request is hedged: the first whole answer is served, whichever it is.
+#[test]
+fn a_stalled_answer_is_hedged_and_its_attempt_goes_on() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf";
+    let slow = |rest: &str| Act::Paced {
+        parts: vec![HEAD.into(), rest.into()],
+        pause: Duration::from_millis(500),
+        ends: false,
+    };
+    for (second, expected) in [("silent", "halfslow"), ("answers", "hedged")] {
+        let attempts = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+        let script = move |_: &Message| match attempts.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+            0 => slow("slow"),
+            _ if second == "silent" => Act::Silence,
+            _ => ok("hedged"),
+        };
+        let backends = [Backend::new(script.clone()), Backend::new(script)];
+        let (agent, _discovery) = start(&[0, 1].map(|i: usize| backends[i].address));
+        let answer = Client::to(&agent).ask(&request("read", 1500));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, expected.as_bytes()), "{second}");
+        assert_eq!(backends.iter().map(|backend| backend.heard.all().len()).sum::<usize>(), 2);
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -570,6 +570,21 @@
         /// The request.
         request: RequestId,
     },
+    /// Part of the answer has arrived, the rest has not, and none of it has been forwarded.
+    AnswerBegun {
+        /// The request.
+        request: RequestId,
+        /// The attempt that is being answered.
+        attempt: AttemptNo,
+    },
+    /// Nothing more of an answer that has begun has arrived for some time. The attempt goes on, and the answer
+    /// may still arrive.
+    AnswerStalled {
+        /// The request.
+        request: RequestId,
+        /// The attempt that is being answered.
+        attempt: AttemptNo,
+    },
     /// A streamed answer, or one that is forwarded while it arrives, has begun. The request is committed to
     /// this attempt; its outcome follows at the end of the answer.
     FirstByte {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,6 +20,7 @@
 
 mod long_requests;
 mod shutdown;
+mod slow_answers;
 
 /// Number of fresh draws per selection, in addition to the one remembered server. The published analysis of
 /// power-of-d-choices with memory requires at least as many fresh draws as remembered servers.
@@ -239,10 +240,19 @@
     ReceivingBody,
     /// The server has the whole request and has not begun to answer.
     Processing,
-    /// The answer has begun.
+    /// Part of the answer has arrived, and none of it has been forwarded.
+    ReceivingAnswer,
+    /// The answer is being forwarded.
     StreamingAnswer,
 }
 
+impl AttemptStage {
+    /// Whether an attempt in this stage counts against its server's limit.
+    fn holds_slot(self) -> bool {
+        matches!(self, AttemptStage::Processing | AttemptStage::ReceivingAnswer)
+    }
+}
+
 /// The state of an ejected server, as a whole or for one class.
 struct Ejection {
     /// When the next half-open attempt may be sent: never while one is in flight. An attempt whose body is
@@ -413,6 +423,8 @@
             Event::Request(request) => self.accept(now, request, actions),
             Event::Committed { request, attempt } => self.bind(request, attempt),
             Event::BodyComplete { request } => self.body_received(now, request),
+            Event::AnswerBegun { request, attempt } => self.answer_begun(now, request, attempt),
+            Event::AnswerStalled { request, attempt } => self.answer_stalled(now, request, attempt, actions),
             Event::FirstByte { request, attempt } => self.answer_started(now, request, attempt, actions),
             Event::Outcome { .. } => self.handle_outcome(now, event, actions),
             Event::ClientGone { request } => drop(self.active_requests.remove(&request)),
@@ -904,7 +916,7 @@
 
     /// Frees the place that an attempt has taken of its server's limit.
     fn release_slot(&mut self, attempt: &InFlightAttempt) {
-        self.servers[attempt.server].in_flight -= u32::from(attempt.stage == AttemptStage::Processing);
+        self.servers[attempt.server].in_flight -= u32::from(attempt.stage.holds_slot());
         self.servers[attempt.server].stalled -= u32::from(attempt.stalled);
     }
 
@@ -921,6 +933,7 @@
         }
         if closed {
             self.active_requests.remove(&id);
+            self.cancel_stalled(id, actions);
         } else if let Some(active) = self.active_requests.get_mut(&id) {
             active.attempts[attempt.0 as usize].outcome = Some(outcome);
             let cost = match outcome {
@@ -1020,7 +1033,8 @@
         let server = &mut self.servers[attempt.server];
         let class_record = attempt.class + 1;
         let got_no_answer = outcome == Outcome::TimedOut || attempt.stalled && outcome == Outcome::Cancelled;
-        let is_lost = got_no_answer && server.newest_answered_sent_at > attempt.sent_at;
+        let has_begun = attempt.stage == AttemptStage::ReceivingAnswer;
+        let is_lost = got_no_answer && !has_begun && server.newest_answered_sent_at > attempt.sent_at;
         self.lost_answer_share += if is_lost {
             LOST_ANSWER_GAIN * (1.0 - self.lost_answer_share)
         } else {
@@ -1031,7 +1045,7 @@
             Outcome::Success => (elapsed.ms() / aim_ms).min(1.0),
             // The server has answered other attempts in its usual time: a lost answer says nothing about
             // load.
-            Outcome::TimedOut | Outcome::Cancelled if attempt.stalled => 0.0,
+            Outcome::TimedOut | Outcome::Cancelled if attempt.stalled && !has_begun => 0.0,
             // Cancelling does not stop the work: it may still be in the server's queue.
             Outcome::TimedOut | Outcome::Rejected | Outcome::Cancelled => 1.0,
             _ => 0.0,
--- a/src/decide/long_requests.rs
+++ b/src/decide/long_requests.rs
@@ -57,5 +57,6 @@
             (id, attempt.0),
             InFlightAttempt { stalled: false, half_open_record: None, ..in_flight_attempt },
         );
+        self.cancel_stalled(id, actions);
     }
 }
--- /dev/null
+++ b/src/decide/slow_answers.rs
@@ -0,0 +1,66 @@
+//! Answers that have begun and arrive slowly. Silence in the middle of an answer is not its end: the server may
+//! still be writing, or the rest may never come, and nothing tells the two apart in time. The attempt therefore
+//! goes on, and its request is hedged where its class allows a second attempt. The first complete answer is
+//! served; a request that must not be repeated waits for its own time.
+
+use super::{AllowedServers, AttemptStage, Balancer};
+use crate::api::{Action, AttemptNo, RequestId, Time};
+
+/// Cost of a hedged request, in retry tokens.
+const HEDGE_COST: f64 = 1.0;
+
+impl Balancer {
+    /// Part of an answer has arrived: its server is not silent, and the attempt can't be overdue any more.
+    pub(super) fn answer_begun(&mut self, now: Time, id: RequestId, attempt: AttemptNo) {
+        let Some(in_flight) = self.in_flight_attempts.get_mut(&(id, attempt.0)) else { return };
+        if in_flight.stage == AttemptStage::Processing {
+            in_flight.stage = AttemptStage::ReceivingAnswer;
+        }
+        let server = in_flight.server;
+        self.servers[server].last_answer_at = now;
+    }
+
+    /// Nothing more of an answer has arrived for some time. Its attempt no longer counts against the limit of
+    /// its server, and its request is hedged if it can be. Without a client, the attempt is cancelled.
+    pub(super) fn answer_stalled(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptNo,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(in_flight) = self.in_flight_attempts.get_mut(&(id, attempt.0)) else { return };
+        if in_flight.stage == AttemptStage::ReceivingAnswer && !in_flight.stalled {
+            in_flight.stalled = true;
+            self.servers[in_flight.server].stalled += 1;
+        }
+        if !self.active_requests.contains_key(&id) {
+            self.cancel_stalled(id, actions);
+        } else if self.may_hedge(now, id) && self.dispatch(now, id, actions) {
+            self.retry_tokens -= HEDGE_COST;
+        }
+    }
+
+    /// Cancels the attempts of an answered request whose answers have stalled.
+    pub(super) fn cancel_stalled(&self, id: RequestId, actions: &mut Vec<Action>) {
+        if !self.settings.cancel {
+            return;
+        }
+        let attempts = self.in_flight_attempts.range((id, 0)..=(id, u32::MAX));
+        let stalled = attempts.filter(|(_, attempt)| attempt.stalled);
+        actions.extend(
+            stalled.map(|(&(request, number), _)| Action::Cancel { request, attempt: AttemptNo(number) }),
+        );
+    }
+
+    /// Whether a request whose answers have all stalled may be sent once more while they are in flight.
+    fn may_hedge(&self, now: Time, id: RequestId) -> bool {
+        let active = &self.active_requests[&id];
+        let mut in_flight = self.in_flight_attempts.range((id, 0)..=(id, u32::MAX));
+        let all_stalled = in_flight.all(|(_, attempt)| attempt.stalled);
+        all_stalled
+            && self.attempt_rules(active, now).0 != AllowedServers::NoServer
+            && !self.is_too_late(now, active)
+            && self.retry_tokens >= HEDGE_COST
+    }
+}
--- a/tests/random_walk.rs
+++ b/tests/random_walk.rs
@@ -94,6 +94,13 @@
                     closed,
                 }));
             }
+            // An answer arrives slowly, also one whose request has been answered or whose body is incomplete.
+            82..=83 if !in_flight.is_empty() && rng.bool() => {
+                let o = &in_flight[rng.usize(0..in_flight.len())];
+                let (request, attempt) = (o.request, AttemptNo(o.attempt));
+                actions.extend_from_slice(harness.deliver(Event::AnswerBegun { request, attempt }));
+                actions.extend_from_slice(harness.deliver(Event::AnswerStalled { request, attempt }));
+            }
             80..=83 if !in_flight.is_empty() && rng.bool() => {
                 let i = rng.usize(0..in_flight.len());
                 let o = &mut in_flight[i];
