A client's time runs while its upload lies unread: its final answer comes in time

Cause: the client's time was counted from when the agent read the last byte. While a request waits for a place at a server, or its server takes nothing, the agent does not read, and the rest lies in the kernel's buffers.

Change: a streamed request knows when its client had certainly not sent its last byte: while nothing was left to read, or more was missing than the kernel's buffers hold. Its time counts from there, also what its server is told. If it may be over before the body could be read, the decision module gives the final answer (body-overdue: refused where nothing can have run, failed otherwise).

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -238,6 +238,12 @@
         self.dispatch(Event::BodyComplete { request: id });
     }
 
+    /// Records that the time of a request may be over before its body could be read. The decision module gives
+    /// its final answer at once.
+    pub fn body_overdue(&self, id: RequestId) {
+        self.dispatch(Event::BodyOverdue { request: id });
+    }
+
     /// Marks a request as needing no answer any more: its client has disconnected, or its deadline has
     /// passed.
     pub fn abandon(&self, id: RequestId) {
--- a/agent/src/frontend/http/connection_slot.rs
+++ b/agent/src/frontend/http/connection_slot.rs
@@ -28,6 +28,11 @@
 const SILENT_EVICTION_AGE: Duration = Duration::from_millis(50);
 const READING_EVICTION_AGE: Duration = Duration::from_millis(150);
 
+/// The largest buffers that Linux gives a socket by default, in bytes: a client's for sending, and the agent's
+/// for receiving where its size can't be told.
+const SEND_BUFFER_MAX: usize = 4 * 1024 * 1024;
+const RECEIVE_BUFFER_MAX: usize = 32 * 1024 * 1024;
+
 /// State of a connection.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Phase {
@@ -157,6 +162,22 @@
         self.set_phase(if closes { Phase::Closing } else { Phase::AwaitingRequest });
     }
 
+    /// Whether part of the request is missing and nothing of it is unread. `bytes` is its length if its head
+    /// states it.
+    pub fn nothing_unread_of_incomplete(&self, bytes: Option<u64>) -> bool {
+        let head = self.view.head();
+        let is_incomplete = bytes.map_or(head.chunked_len().is_none(), |bytes| head.bytes_received() < bytes);
+        is_incomplete && !self.view.has_unread()
+    }
+
+    /// Whether more of the request is missing than the buffers of the kernel hold, so that its client can't have
+    /// written the last byte. `bytes` is its length if its head states it.
+    pub fn misses_more_than_buffers_hold(&self, bytes: Option<u64>) -> bool {
+        let missing = bytes.map_or(0, |bytes| bytes.saturating_sub(self.view.head().bytes_received()));
+        let receive_buffer = self.view.receive_buffer_size().unwrap_or(RECEIVE_BUFFER_MAX);
+        missing > (receive_buffer + SEND_BUFFER_MAX) as u64
+    }
+
     /// Upper bound of the time that the first request waited before its connection was accepted. Returns zero
     /// from the second call on.
     pub fn take_queue_time(&self) -> Duration {
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -4,7 +4,9 @@
 use super::connection_slot::ConnectionSlot;
 use super::responses::{rejection_response, text_response, to_response};
 use super::slots::ConnectionSlots;
-use super::validation::{check_no_excess, BodyRemainder, Rejection, RequestRules, ValidRequest};
+use super::validation::{
+    check_no_excess, BodyRemainder, ForwardError, Rejection, RequestRules, ValidRequest,
+};
 use crate::clients::Clients;
 use crate::driver::Driver;
 use crate::events;
@@ -34,7 +36,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// If the decision module gives no answer, the client gets one this long before its deadline.
-const ANSWER_RESERVE: Duration = Duration::from_millis(6);
+pub(super) const ANSWER_RESERVE: Duration = Duration::from_millis(6);
 /// How long a connection that is closing may take to write an answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after a failed accept.
@@ -308,7 +310,14 @@
             let forwarded = tokio::select! {
                 biased;
                 answer = answer.as_mut() => Err(Ok(Some(answer))),
-                forwarded = rest.forward_rest(slot, bytes) => forwarded.map_err(Err),
+                forwarded = rest.forward_rest(slot, bytes) => match forwarded {
+                    Ok(()) => Ok(()),
+                    Err(ForwardError::Rejected(rejection)) => Err(Err(rejection)),
+                    Err(ForwardError::Overdue) => {
+                        self.driver.body_overdue(id);
+                        Err(Ok(answer.try_recv().ok().map(Ok)))
+                    }
+                },
                 () = closed.as_mut() => Err(Err(CLIENT_GONE)),
                 () = self.driver.process_ends(ANSWER_RESERVE) => Err(Ok(None)),
             };
--- a/agent/src/frontend/http/validation.rs
+++ b/agent/src/frontend/http/validation.rs
@@ -1,6 +1,7 @@
 //! Reads a client's request and validates it before anything else is done for it.
 
 use super::connection_slot::ConnectionSlot;
+use super::server::ANSWER_RESERVE;
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::requests::RequestAttributes;
 use crate::upstream::attempt::Call;
@@ -14,9 +15,10 @@
 use ryelead::{ClassId, Effect, KeyId, Span, TenantId};
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// After `BODY_GRACE_TIME`, a body must arrive at this many bytes a second at least; a little under half of
 /// the rate of the slowest clients.
@@ -24,6 +26,12 @@
 const BODY_GRACE_TIME: Duration = Duration::from_millis(2500);
 /// Maximum part of a request that is buffered so that it can be sent again. Longer requests are streamed.
 const BUFFERED_MAX: usize = 64 * 1024;
+/// While a server takes nothing of a request, it is looked at this often whether the client has written more.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// A server that takes nothing of a request for this long blocks it.
+const BLOCKED_TIME: Duration = Duration::from_millis(1);
+/// The kernel moves bytes from a client's buffer to the agent's within this time once there is room.
+const SETTLE_TIME: Duration = Duration::from_millis(3);
 /// What a client sends after its request was rejected is read and discarded within these bounds. A close with
 /// unread bytes would reset the connection, and the client would lose the answer.
 const DISCARD_MAX: usize = 256 * 1024;
@@ -73,28 +81,91 @@
     body: Incoming,
     pace: BodyPace,
     source: UploadSource,
-    budget: Duration,
+    /// The client may have written bytes that the agent has not read, since it was not reading for a while. They
+    /// are on their way between the buffers of the kernel even if nothing can be read at the moment.
+    may_be_unread: bool,
+    last_piece_at: Instant,
     _reservation: Option<MemoryReservation>,
 }
 
 impl BodyRemainder {
     /// Forwards the rest of the body as it is received.
-    pub async fn forward_rest(&mut self, slot: &ConnectionSlot, bytes: Option<u64>) -> Result<(), Rejection> {
-        while let Some(piece) = self.pace.next(&mut self.body, slot).await? {
+    pub async fn forward_rest(
+        &mut self,
+        slot: &ConnectionSlot,
+        bytes: Option<u64>,
+    ) -> Result<(), ForwardError> {
+        while let Some(piece) = self.next_piece(slot, bytes).await? {
             // A server has the complete request with the last byte of a stated length, so excess bytes must
             // be detected before that byte is forwarded.
             if self.body.is_end_stream() {
                 check_no_excess(slot, bytes)?;
             }
-            self.source.push(piece).await;
+            self.push(piece, slot, bytes).await?;
+        }
+        Ok(check_no_excess(slot, bytes)?)
+    }
+
+    /// The next piece of the body, `None` at its end. Notes until when the client had certainly not sent its last
+    /// byte.
+    async fn next_piece(
+        &mut self,
+        slot: &ConnectionSlot,
+        bytes: Option<u64>,
+    ) -> Result<Option<Bytes>, Rejection> {
+        while self.may_be_unread {
+            if slot.misses_more_than_buffers_hold(bytes) {
+                self.source.set_incomplete_at(Instant::now());
+            }
+            if let Ok(piece) = timeout(SETTLE_TIME, self.pace.next(&mut self.body, slot)).await {
+                return piece;
+            }
+            self.pace.time_waited += SETTLE_TIME;
+            if !slot.view().has_unread() {
+                self.may_be_unread = false;
+                self.source.set_incomplete_at(Instant::now());
+            }
+        }
+        let piece = self.pace.next(&mut self.body, slot).await;
+        let now = Instant::now();
+        let has_waited = slot.view().drained_at().is_some_and(|drained_at| drained_at >= self.last_piece_at);
+        if has_waited {
+            self.source.set_incomplete_at(now);
+        }
+        self.last_piece_at = now;
+        piece
+    }
+
+    /// Passes a piece on once the server takes it. Meanwhile nothing is read from the client, and what it has
+    /// written lies in the buffers of the kernel: its last byte may be there already.
+    async fn push(
+        &mut self,
+        piece: Bytes,
+        slot: &ConnectionSlot,
+        bytes: Option<u64>,
+    ) -> Result<(), ForwardError> {
+        let started = Instant::now();
+        let mut pushed = pin!(self.source.push(piece));
+        loop {
+            let overdue_at = self.source.earliest_deadline() - ANSWER_RESERVE;
+            let check_at = overdue_at.min(Instant::now() + UNREAD_CHECK_INTERVAL);
+            if timeout_at(check_at, pushed.as_mut()).await.is_ok() {
+                self.may_be_unread |= started.elapsed() >= BLOCKED_TIME;
+                return Ok(());
+            }
+            if slot.nothing_unread_of_incomplete(bytes) || slot.misses_more_than_buffers_hold(bytes) {
+                self.source.set_incomplete_at(Instant::now());
+            }
+            if self.source.earliest_deadline() - ANSWER_RESERVE <= Instant::now() {
+                return Err(ForwardError::Overdue);
+            }
         }
-        check_no_excess(slot, bytes)
     }
 
-    /// Marks the body as complete and returns the client's deadline: its budget starts now, and `within`
-    /// limits it to the remaining time of the process.
+    /// Marks the body as complete and returns the client's deadline: its budget starts when the body was last
+    /// known to be incomplete, and `within` limits it to the remaining time of the process.
     pub fn finish(self, within: impl Fn(Instant) -> Instant) -> Instant {
-        let deadline = within(Instant::now() + self.budget);
+        let deadline = within(self.source.earliest_deadline());
         self.source.finish(deadline);
         deadline
     }
@@ -108,6 +179,24 @@
 /// The status and text of the answer to an invalid request.
 pub type Rejection = (StatusCode, &'static str);
 
+/// Why the rest of a body was not forwarded.
+#[derive(Debug, thiserror::Error)]
+pub enum ForwardError {
+    /// The request is invalid, or its client does not send the rest.
+    #[error("the request is rejected: {0:?}")]
+    Rejected(Rejection),
+    /// The client's time may be over: what it has written could not be read in time, because the server does not
+    /// take it.
+    #[error("the client's time may be over before its request has been read")]
+    Overdue,
+}
+
+impl From<Rejection> for ForwardError {
+    fn from(rejection: Rejection) -> Self {
+        ForwardError::Rejected(rejection)
+    }
+}
+
 const NO_MEMORY: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now");
 const BODY_TOO_LARGE: Rejection = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB");
 
@@ -132,6 +221,7 @@
         slot: &ConnectionSlot,
         request: Request<Incoming>,
     ) -> Result<ValidRequest, Rejection> {
+        let started = Instant::now();
         let (head, body) = request.into_parts();
         let checked = self.check_head(slot, &head, &body);
         let (class, call_id, budget, head_bytes) = match checked {
@@ -177,9 +267,16 @@
             discard(body);
             return Err(NO_MEMORY);
         }
-        let (source, upload) = is_long.then(|| upload(stated_length, budget)).unzip();
+        let (source, upload) = is_long.then(|| upload(stated_length, budget, started)).unzip();
         let _reservation = streaming_portion.flatten();
-        let rest = source.map(|source| BodyRemainder { body, pace, source, budget, _reservation });
+        let rest = source.map(|source| BodyRemainder {
+            body,
+            pace,
+            source,
+            may_be_unread: true,
+            last_piece_at: started,
+            _reservation,
+        });
         // The client's budget starts with the last byte of its request. That byte has just been received, or
         // will be, or had arrived before the connection was accepted.
         let queue_time = slot.take_queue_time();
--- a/agent/src/metered_stream.rs
+++ b/agent/src/metered_stream.rs
@@ -17,7 +17,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -47,6 +47,8 @@
 struct ConnectionState {
     written: Cell<u64>,
     received: Cell<u64>,
+    /// When a read last found nothing more to read.
+    drained_at: Cell<Option<Instant>>,
     /// Number of bytes that may still be read before the connection ends; `None` for no limit.
     read_limit: Cell<Option<u64>>,
     /// Set while a request is about to be written.
@@ -143,7 +145,11 @@
             if self.state.surplus_bytes() > 0 {
                 return Poll::Pending;
             }
-            ready!(self.stream.poll_read_ready(cx))?;
+            let Poll::Ready(readiness) = self.stream.poll_read_ready(cx) else {
+                self.state.drained_at.set(Some(Instant::now()));
+                return Poll::Pending;
+            };
+            readiness?;
             let read = READ_BUFFER.with_borrow_mut(|buffer| {
                 let n = self.stream.try_read(&mut buffer[..len_max])?;
                 let passed = self.state.record_read(&buffer[..n])?;
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -34,6 +34,17 @@
         self.state.received.get()
     }
 
+    /// When a read last found nothing more to read.
+    pub fn drained_at(&self) -> Option<Instant> {
+        self.state.drained_at.get()
+    }
+
+    /// Size of the kernel's receive buffer in bytes; `None` if the connection has ended or it can't be told.
+    pub fn receive_buffer_size(&self) -> Option<usize> {
+        let stream = self.stream.upgrade()?;
+        socket2::SockRef::from(&*stream).recv_buffer_size().ok()
+    }
+
     /// Since when the peer has read nothing of the bytes that wait to be written.
     pub fn write_stalled_since(&self) -> Option<Instant> {
         self.state.write_stalled_since.get()
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -351,8 +351,7 @@
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
     let left = until.saturating_duration_since(Instant::now());
-    // The budget of an incomplete request has not started yet.
-    let left = call.upload.as_ref().map_or(left, |upload| upload.budget).as_millis() as u64;
+    let left = call.upload.as_ref().map_or(left, |upload| upload.time_left()).as_millis() as u64;
     request.headers_mut().insert("x-budget-ms", HeaderValue::from(left));
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().entry(HOST).or_insert(host);
--- a/agent/src/upstream/upload.rs
+++ b/agent/src/upstream/upload.rs
@@ -29,6 +29,8 @@
     length: Option<u64>,
     /// The client's budget, which starts with its last byte.
     pub budget: Duration,
+    /// When the client was last known not to have sent its last byte.
+    incomplete_at: Rc<Cell<Instant>>,
     pieces: RefCell<mpsc::Receiver<Bytes>>,
     /// The client's deadline, once the body is complete.
     completed: watch::Receiver<Option<Instant>>,
@@ -39,19 +41,29 @@
 
 /// The end that receives from the client. If it is dropped before `finish`, the request stays incomplete.
 pub struct UploadSource {
+    budget: Duration,
+    incomplete_at: Rc<Cell<Instant>>,
     pieces: mpsc::Sender<Bytes>,
     completed: watch::Sender<Option<Instant>>,
     received: Rc<Cell<u64>>,
 }
 
-/// Creates the two ends of a streamed request.
-pub fn upload(length: Option<u64>, budget: Duration) -> (UploadSource, Rc<Upload>) {
+/// Creates the two ends of a streamed request, whose client had not sent its last byte at `incomplete_at`.
+pub fn upload(length: Option<u64>, budget: Duration, incomplete_at: Instant) -> (UploadSource, Rc<Upload>) {
     let (sender, receiver) = mpsc::channel(1);
     let (deadline_sender, completed) = watch::channel(None);
     let received = Rc::new(Cell::new(0));
-    let source = UploadSource { pieces: sender, completed: deadline_sender, received: Rc::clone(&received) };
+    let incomplete_at = Rc::new(Cell::new(incomplete_at));
+    let source = UploadSource {
+        budget,
+        incomplete_at: Rc::clone(&incomplete_at),
+        pieces: sender,
+        completed: deadline_sender,
+        received: Rc::clone(&received),
+    };
     let pieces = RefCell::new(receiver);
-    (source, Rc::new(Upload { length, budget, pieces, completed, received, forwarded: Cell::new(0) }))
+    let forwarded = Cell::new(0);
+    (source, Rc::new(Upload { length, budget, incomplete_at, pieces, completed, received, forwarded }))
 }
 
 impl UploadSource {
@@ -62,6 +74,16 @@
         let _ = self.pieces.send(piece).await;
     }
 
+    /// Records that the client had not sent its last byte at `instant`.
+    pub fn set_incomplete_at(&self, instant: Instant) {
+        self.incomplete_at.set(self.incomplete_at.get().max(instant));
+    }
+
+    /// The earliest instant at which the client's time may be over.
+    pub fn earliest_deadline(&self) -> Instant {
+        self.incomplete_at.get() + self.budget
+    }
+
     /// Marks the body as complete; the client waits until `deadline`.
     pub fn finish(self, deadline: Instant) {
         self.completed.send_replace(Some(deadline));
@@ -69,6 +91,12 @@
 }
 
 impl Upload {
+    /// The time that is certainly left to the client.
+    pub fn time_left(&self) -> Duration {
+        let deadline = self.incomplete_at.get() + self.budget;
+        deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Waits for the end of the body and returns the client's deadline; waits for ever if the body stays
     /// incomplete.
     pub async fn completed(&self) -> Instant {
--- a/agent/tests/loopback/slow_servers.rs
+++ b/agent/tests/loopback/slow_servers.rs
@@ -236,3 +236,24 @@
         assert_eq!(backends.iter().map(|backend| backend.heard.all().len()).sum::<usize>(), 2);
     }
 }
+
+/// A client's time runs from its last byte, however long it writes: also beyond its budget, in pieces that come
+/// at any pace, and to a server that pauses.
+#[test]
+fn the_time_of_a_client_that_writes_slowly_has_not_begun() {
+    const PIECES: usize = 40;
+    const PIECE: usize = 10_000;
+    const BUDGET_MS: u64 = 100;
+    let backend = Backend::new(|_| ok("done"));
+    let (agent, _discovery) = start(&[backend.address]);
+    for pace_ms in [5, 50, 100] {
+        let mut client = Client::to(&agent);
+        let head = format!("Content-Length: {}\r\n\r\n", PIECES * PIECE);
+        client.write(&request("once", BUDGET_MS).replace("Content-Length: 4\r\n\r\nbody", &head));
+        for _ in 0..PIECES {
+            client.write(&"x".repeat(PIECE));
+            thread::sleep(Duration::from_millis(pace_ms));
+        }
+        assert_eq!(client.read().map(|answer| answer.status()), Some(200), "every {pace_ms} ms");
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -570,6 +570,12 @@
         /// The request.
         request: RequestId,
     },
+    /// The time of a request with [`Request::body_incomplete`] may be over: its client may have sent the last
+    /// byte long ago, and the body could not be read because no server takes it.
+    BodyOverdue {
+        /// The request.
+        request: RequestId,
+    },
     /// Part of the answer has arrived, the rest has not, and none of it has been forwarded.
     AnswerBegun {
         /// The request.
@@ -667,11 +673,13 @@
     RetryNotAllowed,
     /// An attempt failed, and the retry budget is exhausted.
     RetryBudgetExhausted,
+    /// Its time may be over, and its body could not be read because no server takes it.
+    BodyOverdue,
 }
 
 impl Reason {
     /// All reasons, in order.
-    pub const ALL: [Reason; 8] = [
+    pub const ALL: [Reason; 9] = [
         Reason::NoSuchClass,
         Reason::TooLate,
         Reason::NoServerAvailable,
@@ -680,6 +688,7 @@
         Reason::NoTimeToRetry,
         Reason::RetryNotAllowed,
         Reason::RetryBudgetExhausted,
+        Reason::BodyOverdue,
     ];
 
     /// The name in logs and tables.
@@ -693,6 +702,7 @@
             Reason::NoTimeToRetry => "failed-late",
             Reason::RetryNotAllowed => "no-more-allowed",
             Reason::RetryBudgetExhausted => "retries-spent",
+            Reason::BodyOverdue => "body-overdue",
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,8 +16,10 @@
 
 use crate::api::*;
 use crate::load_reports::{update_baseline, LoadModel, LoadReport, ServerLoad};
+use attempt_stage::AttemptStage;
 use std::collections::BTreeMap;
 
+mod attempt_stage;
 mod long_requests;
 mod shutdown;
 mod silent_servers;
@@ -228,26 +230,6 @@
     stage: AttemptStage,
 }
 
-/// How far an attempt has come. It counts against its server's limit only while the server works on it.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum AttemptStage {
-    /// The body of the request is still arriving.
-    ReceivingBody,
-    /// The server has the whole request and has not begun to answer.
-    Processing,
-    /// Part of the answer has arrived, and none of it has been forwarded.
-    ReceivingAnswer,
-    /// The answer is being forwarded.
-    StreamingAnswer,
-}
-
-impl AttemptStage {
-    /// Whether an attempt in this stage counts against its server's limit.
-    fn holds_slot(self) -> bool {
-        matches!(self, AttemptStage::Processing | AttemptStage::ReceivingAnswer)
-    }
-}
-
 /// The state of an ejected server, as a whole or for one class.
 struct Ejection {
     /// When the next half-open attempt may be sent: never while one is in flight. An attempt whose body is
@@ -418,6 +400,7 @@
             Event::Request(request) => self.accept(now, request, actions),
             Event::Committed { request, attempt } => self.bind(request, attempt),
             Event::BodyComplete { request } => self.body_received(now, request),
+            Event::BodyOverdue { request } => self.body_overdue(now, request, actions),
             Event::AnswerBegun { request, attempt } => self.answer_begun(now, request, attempt),
             Event::AnswerStalled { request, attempt } => self.answer_stalled(now, request, attempt, actions),
             Event::FirstByte { request, attempt } => self.answer_started(now, request, attempt, actions),
--- a/src/decide/long_requests.rs
+++ b/src/decide/long_requests.rs
@@ -2,7 +2,7 @@
 //! has received its bytes, and its time runs from its last byte.
 
 use super::{AttemptStage, Balancer, InFlightAttempt};
-use crate::api::{Action, AttemptNo, Outcome, RequestId, Time};
+use crate::api::{Action, AttemptNo, Outcome, Reason, RequestId, Time};
 
 impl Balancer {
     /// Binds a request to an attempt. The bytes that it has sent or received can't be taken back, so no other
@@ -30,6 +30,13 @@
         }
     }
 
+    /// The time of a request may be over before its body could be read: it gets its final answer now.
+    pub(super) fn body_overdue(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        if self.active_requests.get(&id).is_some_and(|active| active.request.body_incomplete) {
+            self.give_up(now, id, Reason::BodyOverdue, actions);
+        }
+    }
+
     /// A streamed answer has begun. The server's work is done and the attempt no longer counts against its
     /// limit; only the rest of the answer is outstanding.
     pub(super) fn answer_started(
