Connections to servers count against the memory of the process

Callers lost an agent that passed its memory limit. Reproduced: 150 servers whose answers have large heads, 60 clients, 16 MB and 1,024 descriptors: 23.9 of 16 MB in the test's build; with 300 servers and 80 clients 20.0 MB (plain answers) to 37.8 MB (55 fields and a body of 60 kB) in the release build, 483 to 488 connections to servers open.

Cause: connections to servers were bounded by descriptors alone, and no share of the memory was theirs.

Change: the rest of the memory, 35% of what the program leaves, is theirs, at 56 KiB each (the copy of the head is freed when the connection becomes idle). A full pool closes the idle connection that was used least recently, as before; where none is idle an attempt waits for one as long as a connect may take, instead of failing at once. pool-full counts those that get none.

The test of the limits adds up all three shares now.

--- a/agent/src/answer_scanner.rs
+++ b/agent/src/answer_scanner.rs
@@ -54,6 +54,11 @@
         self.surplus = Surplus::default();
     }
 
+    /// Frees the memory of the last answer, which has been examined. What still arrives is counted as surplus.
+    pub fn release(&mut self) {
+        self.head = Vec::new();
+    }
+
     /// Takes in bytes that have been read; returns how many of them lie before the end of the answer. All of
     /// them do if no answer is expected.
     pub fn feed(&mut self, bytes: &[u8]) -> usize {
--- a/agent/src/limits.rs
+++ b/agent/src/limits.rs
@@ -18,11 +18,15 @@
 const MEGABYTE: f64 = 1024.0 * 1024.0;
 /// Memory of the idle program, including room for server lists and records.
 const OWN_BYTES: f64 = 6.0 * MEGABYTE;
-/// The shares of the remaining memory that bodies and client connections may use, and the most memory that
-/// one client connection holds: two buffers of hyper, and the tasks and records around them.
+/// The shares of the remaining memory that bodies, client connections and connections to servers may use. They
+/// add up to all of it.
 const BODIES_SHARE: f64 = 0.4;
 const CLIENTS_SHARE: f64 = 0.25;
+const SERVERS_SHARE: f64 = 0.35;
+/// The most memory that one client connection holds: two buffers of hyper, and the tasks and records around them.
 pub(crate) const CLIENT_CONNECTION_BYTES: f64 = 28.0 * 1024.0;
+/// The most memory that one connection to a server holds: the same, the fields of an answer's head, and that head.
+const SERVER_CONNECTION_BYTES: f64 = 56.0 * 1024.0;
 
 /// The resources that a deployment gives its agent.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -73,7 +77,8 @@
         let memory = self.memory_bytes - OWN_BYTES;
         let clients_by_memory = (memory * CLIENTS_SHARE / CLIENT_CONNECTION_BYTES) as usize;
         let client_connections = own.client_connections.unwrap_or(clients_by_memory.min(shared / 2));
-        let server_connections = own.server_connections.unwrap_or(shared - shared / 2);
+        let servers_by_memory = (memory * SERVERS_SHARE / SERVER_CONNECTION_BYTES) as usize;
+        let server_connections = own.server_connections.unwrap_or(servers_by_memory.min(shared - shared / 2));
         if client_connections + server_connections > usable {
             let reason = format!(
                 "client and server connections add up to {}, but of the {} descriptors in the configuration's \
--- a/agent/src/limits/tests.rs
+++ b/agent/src/limits/tests.rs
@@ -9,8 +9,11 @@
     for (sockets, memory) in [(64, 16.0), (400, 32.0), (1024, 64.0), (100_000, 1024.0)] {
         let limits = deployment(sockets, memory).limits(&LimitsTable::default()).expect("usable");
         assert!(limits.client_connections + limits.server_connections <= sockets - RESERVED_DESCRIPTORS);
-        let held = limits.client_connections as f64 * CLIENT_CONNECTION_BYTES + limits.body_bytes as f64;
-        assert!(held <= (BODIES_SHARE + CLIENTS_SHARE) * (memory * MEGABYTE - OWN_BYTES), "{limits:?}");
+        let clients = limits.client_connections as f64 * CLIENT_CONNECTION_BYTES;
+        let servers = limits.server_connections as f64 * SERVER_CONNECTION_BYTES;
+        let memory = memory * MEGABYTE - OWN_BYTES;
+        assert!(clients + limits.body_bytes as f64 <= (BODIES_SHARE + CLIENTS_SHARE) * memory, "{limits:?}");
+        assert!(clients + servers + limits.body_bytes as f64 <= memory, "{limits:?}");
     }
 }
 
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -99,6 +99,13 @@
         }
     }
 
+    /// Frees the memory of the last answer, which has been examined.
+    pub fn release_answer(&self) {
+        if let Some(answer) = &self.state.answer {
+            answer.borrow_mut().release();
+        }
+    }
+
     /// Whether the last request was not written because its permit had expired.
     pub fn has_expired(&self) -> bool {
         self.state.expired.get()
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -22,6 +22,8 @@
     Probe,
     /// Connections to servers that were opened, or for which that was tried.
     Handshake,
+    /// Attempts that got no connection because no more could be opened.
+    PoolFull,
     /// Idle connections that the agent has closed.
     Retired,
     /// Discovery calls.
@@ -75,6 +77,7 @@
             Count::Send => "sends",
             Count::Probe => "probes",
             Count::Handshake => "handshakes",
+            Count::PoolFull => "pool-full",
             Count::Retired => "retired",
             Count::ListCall => "list-calls",
             Count::ListFailed => "list-failed",
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// A connection may be idle for this share of the time after which a server closes it, so that a request and
 /// the close can't cross.
@@ -88,6 +88,12 @@
 }
 
 impl Lease {
+    fn of_idle(idle: IdleConnection) -> Lease {
+        let IdleConnection { sender, view, task, since, .. } = idle;
+        let (idle_time, _socket) = (Some(since.elapsed()), view.keep_open());
+        Lease { sender: Some(sender), view, task, idle_time, _socket }
+    }
+
     /// Whether it is new and has carried no request yet.
     pub fn is_new(&self) -> bool {
         self.idle_time.is_none()
@@ -157,16 +163,25 @@
         self.open.count()
     }
 
-    /// The most recently used idle connection to the server, or a new one.
+    /// The most recently used idle connection to the server, or a new one. While no more may be opened, it waits
+    /// for as long as a connect may take.
     pub async fn lease(&self, server_endpoint: ServerEndpoint) -> Result<Lease, Outcome> {
-        if let Some(idle) = self.take_idle(server_endpoint) {
-            let IdleConnection { sender, view, task, since, .. } = idle;
-            let (idle_time, _socket) = (Some(since.elapsed()), view.keep_open());
-            return Ok(Lease { sender: Some(sender), view, task, idle_time, _socket });
-        }
-        if self.open.count() >= self.open_max.get() && !self.close_least_recent() {
-            return Err(Outcome::NotSent);
+        let wait_until = Instant::now() + self.connect_timeout;
+        loop {
+            if let Some(idle) = self.take_idle(server_endpoint) {
+                return Ok(Lease::of_idle(idle));
+            }
+            if self.open.count() < self.open_max.get() || self.close_least_recent() {
+                return self.connect(server_endpoint).await;
+            }
+            if timeout_at(wait_until, self.open.available()).await.is_err() {
+                self.metrics.count(Count::PoolFull);
+                return Err(Outcome::NotSent);
+            }
         }
+    }
+
+    async fn connect(&self, server_endpoint: ServerEndpoint) -> Result<Lease, Outcome> {
         self.metrics.count(Count::Handshake);
         let ticket = self.open.enter();
         let stream = match timeout(self.connect_timeout, TcpStream::connect(server_endpoint.address)).await {
@@ -216,6 +231,7 @@
             return;
         }
         let Some(sender) = lease.sender.take() else { return };
+        lease.view.release_answer();
         let (view, task) = (lease.view.clone(), lease.task.clone());
         let idle = IdleConnection {
             sender,
@@ -229,6 +245,7 @@
             return;
         }
         self.idle.borrow_mut().entry(server_endpoint.server).or_default().push(idle);
+        self.open.notify_available();
     }
 
     fn close(&self, idle: &IdleConnection) {
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod lists;
 mod long_answers;
+mod memory;
 mod outcomes;
 mod reload;
 mod slow_readers;
