No attempt begins for a client that has closed its connection behind unread bytes

Reproduced: a request of 300 or 400 kB of which 300 kB are written, its connection to the server comes up late, the client closes meanwhile: the attempt began all the same (the test failed at its first case).

Cause: a close is learnt by reading all that lies before it, and while no attempt has begun nothing more is read. What the kernel can't hold keeps the close itself from arriving.

Change: while no attempt has begun, a long request is read ahead, up to 2 MiB within the spare half of the memory for bodies; the close, or the end of the request, is seen then. The permit of each attempt asks the client's connection at that moment (client-gone), and so does the last piece of a request before it is forwarded. uploads::an_incomplete_long_request_is_never_executed dropped its client before the attempt had begun and saw it begin all the same; it waits for the beginning now, and its assertions are the same.

All loopback tests pass. What is not seen: a close behind more than the spare memory or 2 MiB hold.

--- a/agent/src/driver/attempts.rs
+++ b/agent/src/driver/attempts.rs
@@ -85,6 +85,7 @@
         let permit = attempt(&AttemptFacts {
             now,
             answer_pending: request.answer_pending,
+            client_gone: request.client_gone,
             deadline: request.deadline,
             begin_by: sending.begin_by,
             server,
@@ -100,7 +101,7 @@
         Ok(permit)
     }
 
-    fn effect(&self, class: ClassId) -> Effect {
+    pub(super) fn effect(&self, class: ClassId) -> Effect {
         self.0.effects.get(class.0).copied().unwrap_or(Effect::AtMostOnce)
     }
 
--- a/agent/src/driver/tests.rs
+++ b/agent/src/driver/tests.rs
@@ -36,6 +36,7 @@
         headers,
         body: bytes::Bytes::new(),
         upload: None,
+        client: None,
         _reservation: None,
     };
     let deadline = Instant::now() + Duration::from_secs(60);
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -5,7 +5,7 @@
 use super::responses::{rejection_response, text_response, to_response};
 use super::slots::ConnectionSlots;
 use super::validation::{
-    check_no_excess, BodyRemainder, ForwardError, Rejection, RequestRules, ValidRequest,
+    check_no_excess, BodyRemainder, ForwardError, Rejection, RequestRules, ValidRequest, CLIENT_GONE,
 };
 use crate::clients::Clients;
 use crate::driver::Driver;
@@ -49,8 +49,6 @@
 const HEADERS_MAX: usize = 64;
 /// The process ends before it could answer the request; it was not forwarded.
 const PROCESS_ENDS: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "the process ends");
-/// Never read by anyone, since the client has disconnected.
-const CLIENT_GONE: Rejection = (StatusCode::BAD_REQUEST, "the client has gone");
 
 /// Serves the connections of clients.
 pub struct Server {
--- a/agent/src/frontend/http/validation.rs
+++ b/agent/src/frontend/http/validation.rs
@@ -100,9 +100,11 @@
             // be detected before that byte is forwarded.
             if self.body.is_end_stream() {
                 check_no_excess(slot, bytes)?;
+                check_connected(slot)?;
             }
             self.push(piece, slot, bytes).await?;
         }
+        check_connected(slot)?;
         Ok(check_no_excess(slot, bytes)?)
     }
 
@@ -197,6 +199,8 @@
     }
 }
 
+/// Never read by anyone, since the client has disconnected.
+pub const CLIENT_GONE: Rejection = (StatusCode::BAD_REQUEST, "the client has gone");
 const NO_MEMORY: Rejection = (StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now");
 const BODY_TOO_LARGE: Rejection = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB");
 
@@ -214,6 +218,14 @@
     Ok(())
 }
 
+/// Rejects a request whose client has closed its connection, as far as that can be seen.
+fn check_connected(slot: &ConnectionSlot) -> Result<(), Rejection> {
+    if slot.view().has_closed() {
+        return Err(CLIENT_GONE);
+    }
+    Ok(())
+}
+
 impl RequestRules {
     /// Reads and validates a request. Invalid requests are not forwarded.
     pub async fn receive(
@@ -267,7 +279,8 @@
             discard(body);
             return Err(NO_MEMORY);
         }
-        let (source, upload) = is_long.then(|| upload(stated_length, budget, started)).unzip();
+        let (source, upload) =
+            is_long.then(|| upload(stated_length, budget, started, Rc::clone(&self.bodies))).unzip();
         let _reservation = streaming_portion.flatten();
         let rest = source.map(|source| BodyRemainder {
             body,
@@ -301,7 +314,8 @@
         let parts = head.uri.into_parts();
         let uri = parts.path_and_query.map(Into::into).unwrap_or_default();
         let (body, _reservation) = (buffered.freeze(), Some(reservation));
-        let call = Call { method: head.method, uri, headers, body, upload, _reservation };
+        let client = Some(slot.view().clone());
+        let call = Call { method: head.method, uri, headers, body, upload, client, _reservation };
         Ok(ValidRequest { call, call_id, attributes, bytes, rest })
     }
 
--- a/agent/src/memory_budget.rs
+++ b/agent/src/memory_budget.rs
@@ -36,6 +36,16 @@
         Some(MemoryReservation { budget: Rc::clone(self), bytes })
     }
 
+    /// Reserves `bytes` unless more than half of the budget would then be held: for what is of use, but can wait.
+    pub fn take_spare(self: &Rc<Self>, bytes: usize) -> Option<MemoryReservation> {
+        let held = self.held.get().checked_add(bytes)?;
+        if held <= self.limit.get() / 2 {
+            self.take(bytes)
+        } else {
+            None
+        }
+    }
+
     /// Reserves `bytes` as soon as so many are free.
     pub async fn take_when_free(self: &Rc<Self>, bytes: usize) -> MemoryReservation {
         loop {
--- a/agent/src/metered_stream/view.rs
+++ b/agent/src/metered_stream/view.rs
@@ -5,8 +5,11 @@
 use crate::answer_scanner::{SurplusKind, SURPLUS_MAX};
 use crate::head::HeadScanner;
 use crate::permits::attempt::AttemptPermit;
+use std::future::Future;
 use std::io;
+use std::pin::pin;
 use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -190,6 +193,15 @@
         }
     }
 
+    /// Whether the peer has closed or the connection is broken, also behind unread bytes, as far as the kernel has
+    /// been told.
+    pub fn has_closed(&self) -> bool {
+        let Some(stream) = self.stream.upgrade().filter(|_| self.is_open()) else { return true };
+        let mut context = Context::from_waker(Waker::noop());
+        let readiness = pin!(stream.ready(Interest::READABLE)).poll(&mut context);
+        matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Waits until the peer has closed or the connection is broken, even if there are unread bytes before the
     /// close.
     pub async fn closed(&self) {
--- a/agent/src/permits/attempt.rs
+++ b/agent/src/permits/attempt.rs
@@ -55,6 +55,8 @@
     pub now: Instant,
     /// The client is waiting, and no answer has been sent.
     pub answer_pending: bool,
+    /// The client has closed its connection.
+    pub client_gone: bool,
     /// The deadline of the request; `None` while its body is incomplete.
     pub deadline: Option<Instant>,
     /// The latest instant at which the decision module lets the attempt begin.
@@ -72,8 +74,10 @@
 /// Why an attempt may not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum AttemptDenied {
-    /// The client has disconnected or has its answer.
+    /// The client is known to have disconnected, or has its answer.
     NotOwed,
+    /// The client has closed its connection; its request is about to be abandoned.
+    ClientGone,
     /// The deadline of the request or of the shutdown has passed.
     DeadlinePassed,
     /// The time that the decision module allowed for beginning the attempt has passed.
@@ -95,6 +99,7 @@
     pub fn name(self) -> &'static str {
         match self {
             AttemptDenied::NotOwed => "not-owed",
+            AttemptDenied::ClientGone => "client-gone",
             AttemptDenied::DeadlinePassed => "deadline-passed",
             AttemptDenied::BeginByPassed => "begin-by-passed",
             AttemptDenied::ServerLeft => "server-left",
@@ -152,6 +157,9 @@
     if !facts.answer_pending {
         return Err(AttemptDenied::NotOwed);
     }
+    if facts.client_gone {
+        return Err(AttemptDenied::ClientGone);
+    }
     if facts.deadline.is_some_and(|deadline| facts.now >= deadline) {
         return Err(AttemptDenied::DeadlinePassed);
     }
--- a/agent/src/permits/attempt/tests.rs
+++ b/agent/src/permits/attempt/tests.rs
@@ -12,6 +12,7 @@
     deadline_ms: u64,
     answered_ms: u64,
     drained_ms: u64,
+    closed_ms: u64,
     /// For each attempt: when it asks to begin, the zone of its server, how long it lasts, and whether its
     /// outcome proves that it never ran.
     attempts: Vec<(u64, u32, u64, bool)>,
@@ -20,10 +21,10 @@
 fn history() -> impl Strategy<Value = History> {
     let attempt = (0..400u64, 0..2u32, 0..200u64, any::<bool>());
     let attempts = proptest::collection::vec(attempt, 1..6);
-    (0..4u8, any::<bool>(), 1..300u64, 1..400u64, 1..600u64, 1..600u64, attempts).prop_map(|drawn| {
-        let (effect, hedging, window_ms, deadline_ms, answered_ms, drained_ms, mut attempts) = drawn;
+    (0..4u8, any::<bool>(), 1..300u64, 1..400u64, 1..600u64, (1..600u64, 1..900u64), attempts).prop_map(|drawn| {
+        let (effect, hedging, window_ms, deadline_ms, answered_ms, (drained_ms, closed_ms), mut attempts) = drawn;
         attempts.sort_unstable();
-        History { effect, hedging, window_ms, deadline_ms, answered_ms, drained_ms, attempts }
+        History { effect, hedging, window_ms, deadline_ms, answered_ms, drained_ms, closed_ms, attempts }
     })
 }
 
@@ -41,6 +42,10 @@
     /// The rules of the protocol, one after the other, for an attempt that asks at `at_ms` after the attempts
     /// in `begun`: (when, zone, end, never ran).
     fn is_permitted(&self, at_ms: u64, zone: u32, begun: &[(u64, u32, u64, bool)]) -> bool {
+        // No attempt begins for a client that has closed its connection.
+        if at_ms >= self.closed_ms {
+            return false;
+        }
         // No attempt begins after the answer or the deadline.
         if at_ms >= self.answered_ms || at_ms >= self.deadline_ms {
             return false;
@@ -97,6 +102,7 @@
             let asked = attempt(&AttemptFacts {
                 now: instant(at_ms),
                 answer_pending: at_ms < history.answered_ms,
+                client_gone: at_ms >= history.closed_ms,
                 deadline: Some(instant(history.deadline_ms)),
                 begin_by: None,
                 server: ServerFacts { takes_new_work, zone: ZoneId(zone), cell: CellId(0) },
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -1,6 +1,7 @@
 //! The open requests: which of them still need an answer, which attempts are in flight for each, and until
 //! when attempts may be sent. It has no sockets; deadlines come from the caller.
 
+use crate::metered_stream::ConnectionView;
 use crate::permits::admission::Admission;
 use crate::permits::attempt::{AttemptState, EarlierAttempt};
 use crate::upstream::attempt::{Call, Served};
@@ -83,6 +84,8 @@
     pub class: ClassId,
     /// The client is waiting, and no answer has been sent.
     pub answer_pending: bool,
+    /// The client has closed its connection, as far as the kernel has been told.
+    pub client_gone: bool,
     /// When it was answered or abandoned; `None` if it was not.
     pub answered_at: Option<Instant>,
     /// The deadline of the request; `None` while its body is incomplete.
@@ -199,6 +202,7 @@
         Some(RequestFacts {
             class: open.class,
             answer_pending: open.reply.is_some(),
+            client_gone: open.call.client.as_ref().is_some_and(ConnectionView::has_closed),
             answered_at: open.answered_at,
             deadline: (!open.body_incomplete).then_some(open.deadline),
             earlier: others.map(|(_, earlier)| *earlier).collect(),
--- a/agent/src/upstream/attempt.rs
+++ b/agent/src/upstream/attempt.rs
@@ -5,6 +5,7 @@
 use super::streaming::StreamedAnswer;
 use super::upload::Upload;
 use crate::memory_budget::MemoryReservation;
+use crate::metered_stream::ConnectionView;
 use crate::permits::attempt::AttemptPermit;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
@@ -31,6 +32,8 @@
     pub body: Bytes,
     /// The rest of the body, if the request is streamed.
     pub upload: Option<Rc<Upload>>,
+    /// The client's connection; `None` for a probe.
+    pub client: Option<ConnectionView>,
     /// The memory that the body holds.
     pub _reservation: Option<MemoryReservation>,
 }
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -185,7 +185,7 @@
             informational_flag.store(true, Ordering::Relaxed)
         });
         let received = view.received();
-        let upload_budget = time.0.upload.as_ref().map(|upload| upload.budget);
+        let upload_budget = time.0.upload.as_ref().map(|upload| upload.budget());
         view.arm(permit, BUFFERED_READ_MAX);
         let arrival = AnswerArrival::new();
         let complete = async {
@@ -284,7 +284,8 @@
     pub async fn probe(&self, server_endpoint: ServerEndpoint) -> AttemptResult {
         let uri = Uri::from_static(if self.reports.are_sent() { "/stats" } else { "/health/live" });
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let call = Call { method: Method::GET, uri, headers, body, upload: None, _reservation: None };
+        let call =
+            Call { method: Method::GET, uri, headers, body, upload: None, client: None, _reservation: None };
         let until = Instant::now() + PROBE_TIMEOUT;
         let progress = Progress::default();
         let attempt = self.attempt(server_endpoint, &call, until, &progress, &ProbeOwner);
--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -40,7 +40,15 @@
 
 fn post(body: usize) -> Call {
     let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-    Call { method: Method::POST, uri, headers, body: vec![7; body].into(), upload: None, _reservation: None }
+    Call {
+        method: Method::POST,
+        uri,
+        headers,
+        body: vec![7; body].into(),
+        upload: None,
+        client: None,
+        _reservation: None,
+    }
 }
 
 async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
--- a/agent/src/upstream/upload.rs
+++ b/agent/src/upstream/upload.rs
@@ -4,9 +4,11 @@
 //! no connection loses nothing. From the first byte beyond them, no other attempt can send the complete
 //! request; the sender reports this to the decision module first
 //! ([`super::attempt::AttemptOwner::commit`]). Only one piece is in transit at a time: a server that does not
-//! read slows the client down by TCP flow control.
+//! read slows the client down by TCP flow control. While no attempt has begun, more is read ahead within the spare
+//! memory, because neither the end of the request nor the client's close is seen before what lies ahead of it.
 
 use super::body::BODY_MAX;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
@@ -15,73 +17,116 @@
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::Instant;
 
+/// Maximum number of bytes of a request that are read ahead of its attempt.
+const READ_AHEAD_MAX: usize = 2 * 1024 * 1024;
+
 /// The client has not sent the complete request.
 #[derive(Debug, thiserror::Error)]
 #[error("the client has not sent the complete request")]
 pub struct IncompleteRequest;
 
+/// What both ends of a streamed request know.
+struct UploadState {
+    /// The client's budget, which starts with its last byte.
+    budget: Duration,
+    /// When the client was last known not to have sent its last byte.
+    incomplete_at: Cell<Instant>,
+    /// Unbuffered bytes that have been received, and that have been passed to a connection.
+    received: Cell<u64>,
+    forwarded: Cell<u64>,
+    /// Bytes that wait to be passed to a connection.
+    waiting: Cell<usize>,
+    /// Notified when a piece has been passed to a connection.
+    taken: Notify,
+}
+
+/// A piece of the body, with the memory that it holds if it was read ahead.
+type Piece = (Bytes, Option<MemoryReservation>);
+
 /// The unbuffered part of a request, as its sender sees it.
 pub struct Upload {
     /// The length of the whole body in bytes, if the head states it.
     length: Option<u64>,
-    /// The client's budget, which starts with its last byte.
-    pub budget: Duration,
-    /// When the client was last known not to have sent its last byte.
-    incomplete_at: Rc<Cell<Instant>>,
-    pieces: RefCell<mpsc::Receiver<Bytes>>,
+    state: Rc<UploadState>,
+    pieces: RefCell<mpsc::UnboundedReceiver<Piece>>,
     /// The client's deadline, once the body is complete.
     completed: watch::Receiver<Option<Instant>>,
-    /// Unbuffered bytes that have been received, and that have been passed to a connection.
-    received: Rc<Cell<u64>>,
-    forwarded: Cell<u64>,
 }
 
 /// The end that receives from the client. If it is dropped before `finish`, the request stays incomplete.
 pub struct UploadSource {
-    budget: Duration,
-    incomplete_at: Rc<Cell<Instant>>,
-    pieces: mpsc::Sender<Bytes>,
+    state: Rc<UploadState>,
+    /// Bounded by what [`UploadSource::push`] lets through.
+    pieces: mpsc::UnboundedSender<Piece>,
     completed: watch::Sender<Option<Instant>>,
-    received: Rc<Cell<u64>>,
+    /// The memory for what is read ahead.
+    memory: Rc<MemoryBudget>,
 }
 
-/// Creates the two ends of a streamed request, whose client had not sent its last byte at `incomplete_at`.
-pub fn upload(length: Option<u64>, budget: Duration, incomplete_at: Instant) -> (UploadSource, Rc<Upload>) {
-    let (sender, receiver) = mpsc::channel(1);
+/// Creates the two ends of a streamed request, whose client had not sent its last byte at `incomplete_at`. What
+/// is read ahead of its attempt is reserved from `memory`.
+pub fn upload(
+    length: Option<u64>,
+    budget: Duration,
+    incomplete_at: Instant,
+    memory: Rc<MemoryBudget>,
+) -> (UploadSource, Rc<Upload>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
     let (deadline_sender, completed) = watch::channel(None);
-    let received = Rc::new(Cell::new(0));
-    let incomplete_at = Rc::new(Cell::new(incomplete_at));
-    let source = UploadSource {
+    let state = Rc::new(UploadState {
         budget,
-        incomplete_at: Rc::clone(&incomplete_at),
-        pieces: sender,
-        completed: deadline_sender,
-        received: Rc::clone(&received),
-    };
-    let pieces = RefCell::new(receiver);
-    let forwarded = Cell::new(0);
-    (source, Rc::new(Upload { length, budget, incomplete_at, pieces, completed, received, forwarded }))
+        incomplete_at: Cell::new(incomplete_at),
+        received: Cell::default(),
+        forwarded: Cell::default(),
+        waiting: Cell::default(),
+        taken: Notify::new(),
+    });
+    let source =
+        UploadSource { state: Rc::clone(&state), pieces: sender, completed: deadline_sender, memory };
+    (source, Rc::new(Upload { length, state, pieces: RefCell::new(receiver), completed }))
 }
 
 impl UploadSource {
-    /// Forwards a piece, once the previous one has been taken.
+    /// Forwards a piece, once the previous one has been taken or there is spare memory to read ahead.
     pub async fn push(&self, piece: Bytes) {
-        self.received.set(self.received.get() + piece.len() as u64);
-        // Nobody takes the piece any more; the answer to the request says why.
-        let _ = self.pieces.send(piece).await;
+        let state = &self.state;
+        state.received.set(state.received.get() + piece.len() as u64);
+        let reservation = loop {
+            if state.waiting.get() == 0 || self.pieces.is_closed() {
+                break None;
+            }
+            if let Some(reservation) = self.reserve_ahead(piece.len()) {
+                break Some(reservation);
+            }
+            state.taken.notified().await;
+        };
+        state.waiting.set(state.waiting.get() + piece.len());
+        // A slice would keep the whole buffer that it was read into.
+        let piece = if reservation.is_some() { Bytes::copy_from_slice(&piece) } else { piece };
+        // Nobody takes the piece any more if this fails; the answer to the request says why.
+        let _ = self.pieces.send((piece, reservation));
+    }
+
+    /// The memory for a piece that is read ahead, if it may be: only while no attempt has begun.
+    fn reserve_ahead(&self, bytes: usize) -> Option<MemoryReservation> {
+        let has_begun = self.state.forwarded.get() > 0;
+        if has_begun || self.state.waiting.get() + bytes > READ_AHEAD_MAX {
+            return None;
+        }
+        self.memory.take_spare(bytes)
     }
 
     /// Records that the client had not sent its last byte at `instant`.
     pub fn set_incomplete_at(&self, instant: Instant) {
-        self.incomplete_at.set(self.incomplete_at.get().max(instant));
+        self.state.incomplete_at.set(self.state.incomplete_at.get().max(instant));
     }
 
     /// The earliest instant at which the client's time may be over.
     pub fn earliest_deadline(&self) -> Instant {
-        self.incomplete_at.get() + self.budget
+        self.state.incomplete_at.get() + self.state.budget
     }
 
     /// Marks the body as complete; the client waits until `deadline`.
@@ -91,9 +136,14 @@
 }
 
 impl Upload {
+    /// The client's budget, which starts with its last byte.
+    pub fn budget(&self) -> Duration {
+        self.state.budget
+    }
+
     /// The time that is certainly left to the client.
     pub fn time_left(&self) -> Duration {
-        let deadline = self.incomplete_at.get() + self.budget;
+        let deadline = self.state.incomplete_at.get() + self.state.budget;
         deadline.saturating_duration_since(Instant::now())
     }
 
@@ -115,13 +165,21 @@
 
     /// Whether no unbuffered byte has been passed to a connection.
     pub fn nothing_forwarded(&self) -> bool {
-        self.forwarded.get() == 0
+        self.state.forwarded.get() == 0
     }
 
     /// Number of unbuffered bytes passed to a connection, if those were all of the body.
     pub fn forwarded_if_complete(&self) -> Option<u64> {
-        let all = self.completed.borrow().is_some() && self.forwarded.get() == self.received.get();
-        all.then(|| self.forwarded.get())
+        let forwarded = self.state.forwarded.get();
+        let all = self.completed.borrow().is_some() && forwarded == self.state.received.get();
+        all.then_some(forwarded)
+    }
+
+    /// Records that a piece has been passed to a connection.
+    fn record_forwarded(&self, length: usize) {
+        self.state.forwarded.set(self.state.forwarded.get() + length as u64);
+        self.state.waiting.set(self.state.waiting.get() - length);
+        self.state.taken.notify_one();
     }
 }
 
@@ -152,8 +210,8 @@
         }
         let piece = ready!(upload.pieces.borrow_mut().poll_recv(cx));
         Poll::Ready(match piece {
-            Some(piece) => {
-                upload.forwarded.set(upload.forwarded.get() + piece.len() as u64);
+            Some((piece, _)) => {
+                upload.record_forwarded(piece.len());
                 Some(Ok(Frame::data(piece)))
             }
             None if upload.completed.borrow().is_some() => None,
--- a/agent/src/upstream/upload/tests.rs
+++ b/agent/src/upstream/upload/tests.rs
@@ -24,7 +24,7 @@
         let (kept, finishes) = (vec![1; random.usize(0..4)], random.bool());
         let rest: Vec<u8> = pieces.concat();
         let length = random.bool().then_some((kept.len() + rest.len()) as u64);
-        let (source, upload) = upload(length, Duration::from_secs(1), Instant::now());
+        let (source, upload) = upload(length, Duration::from_secs(1), Instant::now(), MemoryBudget::new(0));
         let body = RequestBody::Streamed(Some(Bytes::from(kept.clone())), Rc::clone(&upload));
         assert!(upload.nothing_forwarded() && !upload.is_aborted());
         let deadline = Instant::now();
@@ -49,7 +49,7 @@
 /// A server that does not read must stop the client: no more than one piece is held.
 #[tokio::test]
 async fn one_piece_is_in_transit_at_a_time() {
-    let (source, upload) = upload(None, Duration::from_secs(1), Instant::now());
+    let (source, upload) = upload(None, Duration::from_secs(1), Instant::now(), MemoryBudget::new(0));
     source.push(Bytes::from_static(b"a")).await;
     let second = source.push(Bytes::from_static(b"b"));
     tokio::select! {
--- a/agent/tests/loopback/leaving.rs
+++ b/agent/tests/loopback/leaving.rs
@@ -104,3 +104,29 @@
     let (received, other) = waiting.first_received();
     assert_eq!(received, other);
 }
+
+/// A close is noticed behind a large request that does not fit into the buffers of the kernel, whole or in part:
+/// the close arrives only once what lies before it has been read.
+#[test]
+fn a_close_behind_more_than_the_kernel_holds_is_noticed() {
+    for (length, written) in [(400_000, 300_000), (300_000, 300_000)] {
+        let late = LateBackend::default();
+        let line = serving("s", late.address);
+        let discovery = Discovery::new(line.clone());
+        let settings = SETTINGS.replace(r#""connectTimeoutMs":2000"#, r#""connectTimeoutMs":20000"#);
+        let agent = Agent::start(&config(discovery.address, &line, &settings, 1024));
+        let (mut client, text) = (Client::to(&agent), request("once", 9000));
+        socket2::SockRef::from(&client.stream).set_send_buffer_size(1 << 20).unwrap();
+        let stated = format!("Content-Length: {length}\r\n\r\n");
+        client.write(&text.replace("Content-Length: 4\r\n\r\nbody", &stated));
+        client.write(&"x".repeat(written));
+        late.is_dialled();
+        client.stream.shutdown(std::net::Shutdown::Both).unwrap();
+        // What is left of the time in which a client counts as connected after its close.
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        agent.catch_up();
+        let mut waiting = Waiting { agent, _discovery: discovery, late, client, text };
+        let (received, other) = waiting.first_received();
+        assert_eq!(received, other, "{written} of {length} bytes");
+    }
+}
--- a/agent/tests/loopback/uploads.rs
+++ b/agent/tests/loopback/uploads.rs
@@ -69,6 +69,8 @@
     let mut gone = Client::to(&agent);
     gone.write(&whole[..200_000]);
     backend.opened.wait(1);
+    // The attempt begins on its new connection; it would not for a client that has left.
+    agent.catch_up();
     drop(gone);
     backend.ended.wait(1);
     let mut silent = Client::to(&agent);
