An unsafe request whose client has left is not sent again under its id

Callers saw an id run twice when it came again after its client had left. Reproduced: an unsafe request with a time of 1.5 s at a server that executes it and does not answer, its client leaves, and the same id comes again once the attempt has ended: it was sent again (the test failed). Before the end of the attempt it was answered 409 already.

Cause: an id was known only as long as its request was open.

Keyed requests are not concerned, their server recognizes the key.

Measured: the test passes; a keyed request that comes twice is served twice, as before.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -212,7 +212,9 @@
         let deadline = admission.deadline();
         let (id, answer) = {
             let requests = &mut self.0.core.borrow_mut().requests;
-            requests.admit(call, call_id.clone(), attributes.class, attributes.body_incomplete, admission)?
+            let runs_once = self.effect(attributes.class) == Effect::AtMostOnce;
+            let is_incomplete = attributes.body_incomplete;
+            requests.admit(call, call_id.clone(), attributes.class, runs_once, is_incomplete, admission)?
         };
         events::request_taken(id, &call_id, attributes.class.0, deadline);
         // The module itself limits the time by the shutdown deadline; the time that the client has left is
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -45,6 +45,7 @@
 mod peers;
 mod permits;
 mod rate_limiter;
+mod recent_ids;
 mod requests;
 mod servers;
 mod sharing;
--- a/agent/src/requests.rs
+++ b/agent/src/requests.rs
@@ -4,6 +4,7 @@
 use crate::metered_stream::ConnectionView;
 use crate::permits::admission::Admission;
 use crate::permits::attempt::{AttemptState, EarlierAttempt};
+use crate::recent_ids::RecentIds;
 use crate::upstream::attempt::{Call, Served};
 use hyper::header::HeaderValue;
 use ryelead::{ClassId, KeyId, Outcome, RequestId, Span, TenantId};
@@ -49,6 +50,10 @@
     call_id: HeaderValue,
     class: ClassId,
     deadline: Instant,
+    /// The request must not run twice, and nothing but its call id tells that it is the same.
+    runs_once: bool,
+    /// A server's answer has become its final answer.
+    is_served: bool,
     /// The body has not been received completely, so the deadline does not apply yet.
     body_incomplete: bool,
     /// `None` once the request has its final answer or its client has disconnected.
@@ -63,6 +68,12 @@
 }
 
 impl Open {
+    /// Whether the client may send the request once more although it may have run.
+    fn may_come_again(&self) -> bool {
+        let may_have_run = self.begun.iter().any(|(_, begun)| begun.state != AttemptState::NeverRan);
+        self.runs_once && !self.is_served && may_have_run
+    }
+
     /// Takes the reply channel; the request counts as answered or abandoned from here on.
     fn take_reply(&mut self) -> Option<oneshot::Sender<Answer>> {
         let reply = self.reply.take()?;
@@ -113,6 +124,8 @@
 pub struct Requests {
     open: HashMap<RequestId, Open>,
     call_ids: HashSet<HeaderValue>,
+    /// Ids of ended requests that must not be forwarded again.
+    recent_ids: RecentIds,
     next: u64,
 }
 
@@ -124,9 +137,13 @@
         call: Call,
         call_id: HeaderValue,
         class: ClassId,
+        runs_once: bool,
         body_incomplete: bool,
         admission: Admission,
     ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        if runs_once && self.recent_ids.contains(call_id.as_bytes(), Instant::now()) {
+            return None;
+        }
         if !self.call_ids.insert(call_id.clone()) {
             return None;
         }
@@ -139,6 +156,8 @@
             call_id,
             class,
             deadline: admission.deadline(),
+            runs_once,
+            is_served: false,
             body_incomplete,
             reply: Some(reply),
             attempts: 0,
@@ -190,7 +209,7 @@
         open.in_flight.remove(&attempt);
         open.end_attempt(attempt, outcome);
         if let Some((served, reply)) = served.and_then(|s| Some((s, open.take_reply()?))) {
-            let _ = reply.send(Answer::Served(served));
+            open.is_served = reply.send(Answer::Served(served)).is_ok();
         }
         Some(open.reply.is_none())
     }
@@ -233,8 +252,10 @@
     /// Passes on an answer whose body is still arriving; returns false if the request was already answered or
     /// abandoned.
     pub fn begin_answer(&mut self, id: RequestId, served: Served) -> bool {
-        let reply = self.open.get_mut(&id).and_then(Open::take_reply);
-        reply.is_some_and(|reply| reply.send(Answer::Served(served)).is_ok())
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        let Some(reply) = open.take_reply() else { return false };
+        open.is_served = reply.send(Answer::Served(served)).is_ok();
+        open.is_served
     }
 
     /// Sends the final answer, unless one was sent before.
@@ -255,6 +276,9 @@
         if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.in_flight.is_empty()) {
             if let Some(open) = self.open.remove(&id) {
                 self.call_ids.remove(&open.call_id);
+                if open.may_come_again() {
+                    self.recent_ids.remember(open.call_id.as_bytes(), Instant::now());
+                }
             }
         }
     }
--- a/agent/tests/loopback/leaving.rs
+++ b/agent/tests/loopback/leaving.rs
@@ -1,5 +1,6 @@
 //! Clients that disconnect: no attempt begins for them after that.
 
+use dilljunction_lab::standins::booking::Act;
 use dilljunction_lab::standins::hand::*;
 use std::io::Read;
 use std::net::TcpStream;
@@ -130,3 +131,24 @@
         assert_eq!(received, other, "{written} of {length} bytes");
     }
 }
+
+/// A server that executes what has come whole, and the same request from its client once more: an unsafe
+/// request whose client has left is not executed again under the same id.
+#[test]
+fn an_unsafe_id_of_a_client_that_left_is_not_sent_again() {
+    let backend = Backend::new(|m| if m.path().starts_with("/once") { Act::Silence } else { ok("x") });
+    let (agent, _discovery) = Agent::with(&[&backend]);
+    let text = request("once", 1500);
+    let mut client = Client::to(&agent);
+    client.write(&text);
+    backend.heard.wait(1);
+    drop(client);
+    // The attempt ends with the time of its request.
+    backend.ended.wait(1);
+    agent.catch_up();
+    assert_eq!(Client::to(&agent).ask(&text).status(), 409);
+    assert_eq!(backend.heard.all().len(), 1);
+    let keyed = request("all", 9000);
+    assert_eq!(Client::to(&agent).ask(&keyed).status(), 200);
+    assert_eq!(Client::to(&agent).ask(&keyed).status(), 200, "its server recognizes a repeated key");
+}
