What an earlier process did under a server's name says nothing about the new one

Cause: outcomes are kept by the server's index, not by its process. Each attempt carries the incarnation that it was sent to now; an outcome of an earlier one frees its place and decides about its request, and counts for nothing else, nor does its silence. InFlightAttempt moves beside AttemptStage into in_flight.rs.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,10 +16,10 @@
 
 use crate::api::*;
 use crate::load_reports::{update_baseline, LoadModel, LoadReport, ServerLoad};
-use attempt_stage::AttemptStage;
+use in_flight::{AttemptStage, InFlightAttempt};
 use std::collections::BTreeMap;
 
-mod attempt_stage;
+mod in_flight;
 mod long_requests;
 mod shutdown;
 mod silent_servers;
@@ -217,19 +217,6 @@
     until: Time,
 }
 
-/// An attempt that has not ended. It outlives its request if that ends first.
-struct InFlightAttempt {
-    server: usize,
-    class: usize,
-    sent_at: Time,
-    /// The health record whose ejection this half-open attempt may end.
-    half_open_record: Option<usize>,
-    /// Its answer is taken to be lost. It no longer counts against its server's limit: if it did until a
-    /// distant deadline, the server would get no requests.
-    stalled: bool,
-    stage: AttemptStage,
-}
-
 /// The state of an ejected server, as a whole or for one class.
 struct Ejection {
     /// When the next half-open attempt may be sent: never while one is in flight. An attempt whose body is
@@ -255,6 +242,8 @@
 #[derive(Default)]
 struct Server {
     listed: ServerEntry,
+    /// Incremented with each start of the server that the list tells of.
+    incarnation: u32,
     /// Own attempts that the server works on.
     in_flight: u32,
     /// How many of these are stalled, see `InFlightAttempt::stalled`.
@@ -853,7 +842,15 @@
         }
         self.in_flight_attempts.insert(
             (id, attempt_no),
-            InFlightAttempt { server, class, sent_at: now, half_open_record, stalled: false, stage },
+            InFlightAttempt {
+                server,
+                incarnation: s.incarnation,
+                class,
+                sent_at: now,
+                half_open_record,
+                stalled: false,
+                stage,
+            },
         );
         actions.push(Action::Send { request: id, server: s.listed.server, begin_by, timeout_at });
     }
@@ -903,11 +900,16 @@
         let Event::Outcome { request: id, attempt, outcome, elapsed, report, closed } = event else { return };
         let Some(in_flight_attempt) = self.in_flight_attempts.remove(&(id, attempt.0)) else { return };
         self.release_slot(&in_flight_attempt);
-        self.read_report(now, in_flight_attempt.server, report);
+        let is_current = in_flight_attempt.incarnation == self.servers[in_flight_attempt.server].incarnation;
         // An attempt is recorded as a success when its answer begins. After that, only a broken connection is
-        // news.
-        if in_flight_attempt.stage != AttemptStage::StreamingAnswer || outcome == Outcome::ConnectionReset {
-            self.record_outcome(now, &in_flight_attempt, outcome, elapsed, actions);
+        // news. What an earlier process at the server does says nothing about the present one.
+        if is_current {
+            self.read_report(now, in_flight_attempt.server, report);
+            let is_news = in_flight_attempt.stage != AttemptStage::StreamingAnswer
+                || outcome == Outcome::ConnectionReset;
+            if is_news {
+                self.record_outcome(now, &in_flight_attempt, outcome, elapsed, actions);
+            }
         }
         if closed {
             self.active_requests.remove(&id);
@@ -1192,10 +1194,10 @@
                     if line.started.is_some() && line.started != server.listed.started {
                         // A new process has started: what was learned about the old one no longer holds, and
                         // the server is cold.
-                        let (in_flight, stalled, last_answer_at) =
-                            (server.in_flight, server.stalled, server.last_answer_at);
+                        let (in_flight, stalled) = (server.in_flight, server.stalled);
+                        let incarnation = server.incarnation + 1;
                         *server =
-                            Server { in_flight, stalled, last_answer_at, ..Server::new(line, now, classes) };
+                            Server { in_flight, stalled, incarnation, ..Server::new(line, now, classes) };
                     } else {
                         server.listed = line;
                     }
--- /dev/null
+++ b/src/decide/in_flight.rs
@@ -0,0 +1,38 @@
+//! Attempts that have not ended, and how far they have come.
+
+use crate::api::Time;
+
+/// An attempt that has not ended. It outlives its request if that ends first.
+pub(super) struct InFlightAttempt {
+    pub(super) server: usize,
+    /// The incarnation of the server that it was sent to.
+    pub(super) incarnation: u32,
+    pub(super) class: usize,
+    pub(super) sent_at: Time,
+    /// The health record whose ejection this half-open attempt may end.
+    pub(super) half_open_record: Option<usize>,
+    /// Its answer is taken to be lost. It no longer counts against its server's limit: if it did until a
+    /// distant deadline, the server would get no requests.
+    pub(super) stalled: bool,
+    pub(super) stage: AttemptStage,
+}
+
+/// How far an attempt has come. It counts against its server's limit only while the server works on it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptStage {
+    /// The body of the request is still arriving.
+    ReceivingBody,
+    /// The server has the whole request and has not begun to answer.
+    Processing,
+    /// Part of the answer has arrived, and none of it has been forwarded.
+    ReceivingAnswer,
+    /// The answer is being forwarded.
+    StreamingAnswer,
+}
+
+impl AttemptStage {
+    /// Whether an attempt in this stage counts against its server's limit.
+    pub(super) fn holds_slot(self) -> bool {
+        matches!(self, AttemptStage::Processing | AttemptStage::ReceivingAnswer)
+    }
+}
--- a/src/decide/long_requests.rs
+++ b/src/decide/long_requests.rs
@@ -49,9 +49,9 @@
         self.bind(id, attempt);
         let Some(mut in_flight_attempt) = self.in_flight_attempts.remove(&(id, attempt.0)) else { return };
         self.release_slot(&in_flight_attempt);
-        if std::mem::replace(&mut in_flight_attempt.stage, AttemptStage::StreamingAnswer)
-            != AttemptStage::StreamingAnswer
-        {
+        let is_current = in_flight_attempt.incarnation == self.servers[in_flight_attempt.server].incarnation;
+        let stage = std::mem::replace(&mut in_flight_attempt.stage, AttemptStage::StreamingAnswer);
+        if is_current && stage != AttemptStage::StreamingAnswer {
             self.record_outcome(
                 now,
                 &in_flight_attempt,
--- a/src/decide/slow_answers.rs
+++ b/src/decide/slow_answers.rs
@@ -16,8 +16,10 @@
         if in_flight.stage == AttemptStage::Processing {
             in_flight.stage = AttemptStage::ReceivingAnswer;
         }
-        let server = in_flight.server;
-        self.servers[server].last_answer_at = now;
+        let server = &mut self.servers[in_flight.server];
+        if in_flight.incarnation == server.incarnation {
+            server.last_answer_at = now;
+        }
     }
 
     /// Nothing more of an answer has arrived for some time. Its attempt no longer counts against the limit of
