A server is gone when another one has started at its address

Cause: servers are kept by uid, and nothing compares their addresses. A later start at the same address proves that the earlier process is gone: it is removed, its idle connections are closed, no permit is given for it, and the log says so. Unit tests of the agent pass.

--- a/agent/src/servers.rs
+++ b/agent/src/servers.rs
@@ -2,10 +2,12 @@
 //! new requests.
 
 use crate::list::{Entries, State, Target};
+use crate::log::log;
 use crate::permits::attempt::ServerFacts;
 use crate::upstream::pool::{Pool, ServerEndpoint};
 use ryelead::{CellId, KindId, ServerEntry, ServerId, Span, Status, Time, ZoneId};
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -139,7 +141,8 @@
             .filter_map(|uid| Some(self.servers.get(self.ids.get(uid)?)?.listed.clone()));
         let unreadable: Vec<ServerEntry> = unreadable.collect();
         let read = entries.read.iter().map(|target| self.apply_target(now, target, pool));
-        let entries: Vec<ServerEntry> = unreadable.into_iter().chain(read).collect();
+        let mut entries: Vec<ServerEntry> = unreadable.into_iter().chain(read).collect();
+        self.remove_superseded(&mut entries, pool);
         if all {
             let named: HashSet<ServerId> = entries.iter().map(|line| line.server).collect();
             for (id, server) in &mut self.servers {
@@ -151,6 +154,32 @@
         entries
     }
 
+    /// Removes servers whose address belongs to another one that has started later: only one process listens on
+    /// an address, so the earlier one is gone, and what is meant for it would reach the other. `entries` are those
+    /// of the list; superseded ones among them are changed, others are added.
+    fn remove_superseded(&mut self, entries: &mut Vec<ServerEntry>, pool: &Pool) {
+        let mut latest: HashMap<SocketAddr, Time> = HashMap::new();
+        for server in self.servers.values().filter(|server| !server.removed) {
+            let Some(start) = server.claimed_start else { continue };
+            let latest = latest.entry(server.server_endpoint.address).or_insert(start);
+            *latest = start.max(*latest);
+        }
+        for (id, server) in &mut self.servers {
+            let start = server.claimed_start.unwrap_or(Time(0));
+            let is_superseded =
+                latest.get(&server.server_endpoint.address).is_some_and(|latest| *latest > start);
+            if !is_superseded || server.removed {
+                continue;
+            }
+            log(&format!("server {} is gone: another has started at its address", id.0));
+            server.mark_removed(pool);
+            match entries.iter_mut().find(|entry| entry.server == *id) {
+                Some(entry) => entry.status = Status::Gone,
+                None => entries.push(server.listed.clone()),
+            }
+        }
+    }
+
     /// Forgets removed servers once the grace period is over and nothing is in flight to them. Without this,
     /// servers that are replaced under ever new names would fill the memory.
     pub fn forget_removed(&mut self) {
--- a/agent/src/servers/tests.rs
+++ b/agent/src/servers/tests.rs
@@ -119,3 +119,27 @@
         }
     }
 }
+
+/// Guards against a new process that is taken for the one that had its address before.
+#[tokio::test]
+async fn a_server_is_removed_when_another_has_started_at_its_address() {
+    let entry = |uid: &str, boot_ms: u64| {
+        format!(r#"{{"uid":"{uid}","endpoint":"127.0.0.1:9","state":"SERVING","boot_ms":{boot_ms}}}"#)
+    };
+    let status = |received: &[ServerEntry], id: ServerId| {
+        received.iter().find(|entry| entry.server == id).map(|entry| entry.status)
+    };
+    for (old_boot_ms, complete) in [(0, false), (0, true), (5, false), (5, true)] {
+        let (mut servers, pool) = servers();
+        servers.apply_list(NOW, true, &entries(&entry("old", old_boot_ms)), &pool);
+        let mut text = entry("new", 9);
+        if complete {
+            text = [entry("old", old_boot_ms), text].join(",");
+        }
+        let received = servers.apply_list(NOW, complete, &entries(&text), &pool);
+        let (old, new) = (servers.ids["old"], servers.ids["new"]);
+        assert_eq!(status(&received, old), Some(Status::Gone), "{old_boot_ms}, complete: {complete}");
+        assert_eq!(status(&received, new), Some(Status::Serving));
+        assert!(!servers.is_current(old, 0) && servers.is_current(new, 0));
+    }
+}
