The soak plays servers that pause, crowds at the least memory, and sees cut answers

Every plan has servers that pause twice within an answer now (fault pause), one plan of three 16 MB and 1,024 descriptors with twelve more clients at each agent that stop half way through large requests, stay, or leave with much unread. The checker holds an agent to it that an unsafe request fails before its time only if nobody was writing its answer (a test on both sides of the line), and no agent may hold more than its memory.

Not in it: floods by one connection, slow readers of requests, a new process at an old address other than by restarts.

--- a/lab/src/judge/checker.rs
+++ b/lab/src/judge/checker.rs
@@ -8,6 +8,7 @@
 //! | cold spared | a cold server is sent more than the stated multiple of what it can do, two thirds of it by agents that knew |
 //! | agent emptied | 4 s after its clients were sent away an agent says that it is ready, or holds a connection that rests; 2 s after they are wanted back it does not say so |
 //! | half requests ended | a client that stopped in the middle of a request and stays has neither an answer nor a close within 3 s |
+//! | one answer | an unsafe request fails before its time, because the agent ended the connection to a server that was writing its answer |
 //! | answered at once | a refusal that was sat on: past the wanted time, with nothing out for a while |
 //!
 //! What the checker does not hold against an agent: what it had taken when the world killed it; an answer that crossed
@@ -34,6 +35,10 @@
 const TOLD_AT_MOST: Duration = Duration::from_secs(6);
 /// What bad clients are owed: an error or a close within this.
 const HALF_REQUEST_MOST: Duration = Duration::from_secs(3);
+/// An attempt may end this long before its client gives up: its final answer has to reach the client.
+const CUT_OFF_SLACK: Duration = Duration::from_millis(150);
+/// A process that is told to end is killed within this, and has to answer before that.
+const PROCESS_END_MOST: Duration = Duration::from_millis(3_700);
 /// Breaches that are told of each rule; the rest are counted.
 const TOLD_MOST: usize = 20;
 
@@ -146,6 +151,7 @@
     let mut bench = Bench { rules, evidence, slack, verdict: Verdict::default() };
     bench.verdict.looked_at = (evidence.tries.len(), evidence.attempts.len(), evidence.lives.len());
     bench.answers();
+    bench.cut_off();
     bench.effects();
     bench.drains();
     bench.cold();
@@ -283,6 +289,28 @@
         }
     }
 
+    /// A request that can't be sent again has no other answer to wait for: only its own time ends it.
+    fn cut_off(&mut self) {
+        let evidence = self.evidence;
+        let by_call = evidence.by_call();
+        for cut in &evidence.cut_off {
+            let Some(one) = by_call.get(cut.call.as_str()) else { continue };
+            let is_unsafe = self.rules.classes[one.class].effect == Effect::Unsafe;
+            let ended_early = cut.at.plus(CUT_OFF_SLACK) < one.give_up;
+            let by_the_agent = matches!(one.end, End::Failed(_) | End::Refused(_));
+            let by_a_link = evidence.silences.iter().any(|s| s.from <= cut.at && cut.came <= s.to)
+                || evidence.resets.iter().any(|at| *at <= cut.at && cut.came <= at.plus(CUT_OFF_SLACK));
+            let ends = self.killed(one.agent, one.due, cut.at.plus(PROCESS_END_MOST));
+            if is_unsafe && ended_early && by_the_agent && !by_a_link && !ends {
+                let text = format!(
+                    "cut off at {} while server {} was writing its answer; client gives up at {}, ended at {} as {:?}",
+                    cut.at, cut.server, one.give_up, one.ended, one.end
+                );
+                self.breach(Rule::OneAnswer, &cut.call, cut.at, text);
+            }
+        }
+    }
+
     fn effects(&mut self) {
         let evidence = self.evidence;
         let by_name = evidence.by_call();
--- a/lab/src/judge/checker/tests.rs
+++ b/lab/src/judge/checker/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::judge::evidence::{Emptied, HalfRequest, Life, Outage, Silence, Stray, Told};
+use crate::judge::evidence::{CutOff, Emptied, HalfRequest, Life, Outage, Silence, Stray, Told};
 
 const MS: u64 = 1000;
 
@@ -22,6 +22,32 @@
     Rules { classes, figures: Figures::default(), buildings: vec![0, 0, 1], drain_grace }
 }
 
+/// Both sides of the line: who ended the connection, when, and whether there was anything else to wait for.
+#[test]
+fn an_answer_that_is_cut_off_before_its_time_is_a_breach() {
+    let broken = |class: usize, end: End, cut_ms: u64, change: &dyn Fn(&mut Evidence)| {
+        let cut = CutOff { server: 0, call: "c".into(), came: At(10 * MS), at: At(cut_ms * MS) };
+        let mut evidence = Evidence {
+            tries: vec![a_try(class, end, cut_ms)],
+            attempts: vec![Attempt { answered: None, ..attempt(0, class, 0, 10) }],
+            cut_off: vec![cut],
+            ..Evidence::default()
+        };
+        change(&mut evidence);
+        judge(&evidence, &rules()).count(Rule::OneAnswer)
+    };
+    let nothing = |_: &mut Evidence| {};
+    assert_eq!(broken(3, End::Failed(502), 110, &nothing), 1);
+    assert_eq!(broken(3, End::Failed(502), 1480, &nothing), 0, "its own time");
+    assert_eq!(broken(0, End::Failed(502), 110, &nothing), 0, "may be sent again");
+    assert_eq!(broken(3, End::Left, 110, &nothing), 0, "nobody waits");
+    assert_eq!(broken(3, End::Failed(502), 110, &|e| e.resets.push(At(100 * MS))), 0, "a link was reset");
+    let silence = Silence { from: At(0), to: At(2000 * MS) };
+    assert_eq!(broken(3, End::Failed(502), 110, &|e| e.silences.push(silence)), 0, "a link was cut");
+    let outage = Outage { agent: 0, from: At(1000 * MS), to: At(2000 * MS) };
+    assert_eq!(broken(3, End::Failed(502), 110, &|e| e.outages.push(outage)), 0, "the process ends");
+}
+
 fn a_try(class: usize, end: End, ended_ms: u64) -> Try {
     Try {
         call: "c".into(),
--- a/lab/src/judge/evidence.rs
+++ b/lab/src/judge/evidence.rs
@@ -245,6 +245,19 @@
     pub to: At,
 }
 
+/// A whole answer that a pausing server was still writing when its connection ended.
+#[derive(Debug, Clone)]
+pub struct CutOff {
+    /// Where.
+    pub server: ServerIndex,
+    /// The client's name for the request.
+    pub call: String,
+    /// When the request came.
+    pub came: At,
+    /// When the connection had ended.
+    pub at: At,
+}
+
 /// Everything that was written down.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -268,6 +281,10 @@
     pub half_requests: Vec<HalfRequest>,
     /// Links that said nothing.
     pub silences: Vec<Silence>,
+    /// Answers that were cut off while their servers paused.
+    pub cut_off: Vec<CutOff>,
+    /// When links were reset.
+    pub resets: Vec<At>,
     /// How late the lab itself was at worst: what it should have done at a moment, it did this much later.
     pub lag_most: Duration,
     /// And how late 99 of 100 times.
@@ -327,6 +344,10 @@
         self.silences.iter_mut().for_each(|s| {
             [&mut s.from, &mut s.to].into_iter().for_each(shift);
         });
+        self.cut_off.iter_mut().for_each(|c| {
+            [&mut c.came, &mut c.at].into_iter().for_each(shift);
+        });
+        self.resets.iter_mut().for_each(shift);
         self.half_requests.iter_mut().for_each(|h| {
             [&mut h.from, &mut h.to].into_iter().for_each(shift);
         });
--- a/lab/src/soak/draw.rs
+++ b/lab/src/soak/draw.rs
@@ -6,7 +6,7 @@
 use crate::standins::link::Direction;
 use crate::standins::office::Habits;
 use crate::world::agents::Upgrade;
-use crate::world::{Class, EffectName, Fault, Kind, Machine, World};
+use crate::world::{Class, EffectName, Fault, Kind, Limits, Machine, World};
 use fastrand::Rng;
 
 /// How many agents there are, at the least and the most.
@@ -25,6 +25,12 @@
 const ERRORS_OF_ACCEPT: [i32; 7] = [4, 12, 23, 71, 100, 103, 105];
 const ERRORS_OF_CONNECT: [i32; 6] = [99, 101, 105, 110, 111, 113];
 const ENOBUFS: i32 = 105;
+/// Sets the generator of slow peers apart from that of the other faults.
+const SLOW_PEERS_SEED: u64 = 0x510e_527f_ade6_82d1;
+/// The least memory that an agent may be given.
+const LEAST_MEMORY_MB: u64 = 16;
+/// Clients of a crowd at each agent that do not behave.
+const CROWD: usize = 12;
 const HOUR_MS: i64 = 3_600_000;
 
 /// Draws a plan that lasts so many seconds.
@@ -62,9 +68,30 @@
         }
         world.fault.push(fault);
     }
+    add_slow_peers(&mut world, seed, last);
     world
 }
 
+/// Servers that pause within answers, in every plan; in one of three the least memory and a crowd of clients that
+/// do not behave. They have a generator of their own, so that the other faults of a seed stay what they were.
+fn add_slow_peers(world: &mut World, seed: u64, last: f64) {
+    let mut random = Rng::with_seed(seed ^ SLOW_PEERS_SEED);
+    let names: Vec<String> = world.servers().into_iter().map(|(name, _)| name).collect();
+    let mut at = between(&mut random, 0.2, 1.0);
+    while at < last {
+        let some = random.usize(1..=names.len().div_ceil(3));
+        let servers = (0..some).map(|_| names[random.usize(0..names.len())].clone()).collect();
+        let latency_ms = Some(between(&mut random, 110.0, 400.0));
+        let lasts = Some(between(&mut random, 1.0, 4.0));
+        world.fault.push(Fault { servers, latency_ms, ..plain(Kind::Pause, at, lasts) });
+        at += between(&mut random, 1.0, 3.0);
+    }
+    if random.u8(0..3) == 0 {
+        world.limits = Limits { sockets: 1024, memory_mb: LEAST_MEMORY_MB };
+        world.rude_clients += CROWD;
+    }
+}
+
 /// Operators don't send clients away whom they have just called back, nor replace a process that they are emptying: what is looked
 /// for at the end of the one is undone by the other.
 fn contradicts(before: &[Fault], fault: &Fault) -> bool {
--- a/lab/src/standins/booking/shell.rs
+++ b/lab/src/standins/booking/shell.rs
@@ -3,7 +3,9 @@
 use super::model::{self, Figures, Model, Step};
 use super::{Act, Point, Reports, Script};
 use crate::clock::{At, Clock};
-use crate::judge::evidence::{fingerprint, Attempt, Book, Effect, Fragment, Group, Life, ServerIndex};
+use crate::judge::evidence::{
+    fingerprint, Attempt, Book, CutOff, Effect, Fragment, Group, Life, ServerIndex,
+};
 use crate::standins::http::{answer, Broken, Message, Reader, Stage};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -90,6 +92,8 @@
     idle: Duration,
     /// ... and nothing is sent to say so: what is written to one later is reset.
     idle_silently: bool,
+    /// Answers are written in three parts with this pause between them.
+    pause: Option<Duration>,
 }
 
 struct State {
@@ -153,6 +157,7 @@
             crash_at: None,
             idle: Duration::from_secs_f64(setup.figures.idle_ms / 1e3),
             idle_silently: false,
+            pause: None,
         };
         let state = State {
             model: Model::new(setup.figures, now, setup.cold),
@@ -256,6 +261,11 @@
         (state.faults.idle, state.faults.idle_silently) = (idle, silently);
     }
 
+    /// Pauses this long twice within each answer; `None` ends it.
+    pub fn pause_answers(&self, pause: Option<Duration>) {
+        locked(&self.0.state).faults.pause = pause;
+    }
+
     /// Dies: its connections are reset and new ones are refused.
     pub fn crash(&self) {
         self.die(&mut locked(&self.0.state));
@@ -485,7 +495,16 @@
             };
             let (serial, text, half) = text;
             let part = if half { text.len() / 2 } else { text.len() };
-            let written = output.write_all(&text.as_bytes()[..part]).await;
+            let part = &text.as_bytes()[..part];
+            let pause = locked(&self.0.state).faults.pause.filter(|_| !half && is_whole_answer(&text));
+            let written = match pause {
+                Some(pause) => {
+                    let came = incoming.last;
+                    let call = message.header("x-call-id").unwrap_or_default();
+                    self.write_with_pauses(part, pause, (call, came), reader, &mut output).await
+                }
+                None => output.write_all(part).await,
+            };
             let now = self.0.clock.now();
             if let Some(serial) = serial {
                 self.0.book.note(serial, |a| {
@@ -506,6 +525,31 @@
         }
     }
 
+    /// Writes an answer in three parts. Writes down if the connection ends meanwhile.
+    async fn write_with_pauses(
+        &self,
+        answer: &[u8],
+        pause: Duration,
+        (call, came): (&str, At),
+        reader: &mut Reader<OwnedReadHalf>,
+        output: &mut OwnedWriteHalf,
+    ) -> std::io::Result<()> {
+        for (number, part) in answer.chunks(answer.len().div_ceil(3).max(1)).enumerate() {
+            let is_cut_off = number > 0
+                && tokio::select! {
+                    () = sleep(pause) => false,
+                    ended = gone(reader) => ended,
+                };
+            if is_cut_off {
+                let (server, at) = (self.0.setup.index, self.0.clock.now());
+                self.0.book.open().cut_off.push(CutOff { server, call: call.into(), came, at });
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+            output.write_all(part).await?;
+        }
+        Ok(())
+    }
+
     fn probed(&self) -> String {
         let (mut state, mut steps) = (locked(&self.0.state), Vec::new());
         let work = self.0.setup.figures.probe_ms;
@@ -678,6 +722,10 @@
     Reset,
 }
 
+fn is_whole_answer(text: &str) -> bool {
+    text.starts_with("HTTP/1.1 200 ")
+}
+
 fn report_header(report: Option<String>) -> String {
     report.map_or(String::new(), |report| format!("X-Load-Report: {report}\r\n"))
 }
--- a/lab/src/standins/rude.rs
+++ b/lab/src/standins/rude.rs
@@ -20,7 +20,7 @@
     loop {
         sleep(PAUSE.mul_f64(0.5 + random.f64())).await;
         let Ok(Ok(mut stream)) = timeout(PAUSE, TcpStream::connect(address)).await else { continue };
-        match random.u8(0..4) {
+        match random.u8(0..6) {
             0 => {
                 let head = b"POST /x HTTP/1.1\r\nHost: a\r\nX-Call-Id: half\r\nContent-Length: 9\r\n\r\n";
                 let most = random.usize(1..head.len());
@@ -39,6 +39,13 @@
                 let _ = stream.write_all(b"POST /x HTTP/1.1\r\nContent-Length: 99\r\n\r\n").await;
                 let _ = timeout(PAUSE, hears(&mut stream)).await;
             }
+            // A large request that stops half way, and stays or leaves with much unread.
+            4 | 5 => {
+                let body = vec![b'x'; random.usize(1_000..200_000)];
+                let _ = stream.write_all(&large_head(&mut random)).await;
+                let _ = timeout(PAUSE, stream.write_all(&body)).await;
+                let _ = timeout(STAY_MOST.mul_f64(random.f64().powi(3)), hears(&mut stream)).await;
+            }
             // Gone in the middle.
             2 => drop(stream.write_all(b"GET /x HTTP/1.1\r\nX-Call-").await),
             // Rests until it is closed, or for a while.
@@ -47,6 +54,17 @@
     }
 }
 
+/// The head of an unsafe upload, of which less than a half follows, or one with many short fields.
+fn large_head(random: &mut fastrand::Rng) -> Vec<u8> {
+    let id = random.u64(..);
+    let fields: String = (0..random.usize(0..60)).map(|n| format!("a{n}: b\r\n")).collect();
+    let head = format!(
+        "POST /unsafe HTTP/1.1\r\nHost: a\r\nX-Call-Id: rude-{id:x}\r\nX-Call-Class: unsafe\r\nX-Budget-Ms: 500\r\n\
+         {fields}Content-Length: 400000\r\n\r\n"
+    );
+    head.into_bytes()
+}
+
 /// Waits for an answer or the end of the connection, until the client loses patience.
 async fn hears(stream: &mut TcpStream) {
     let _ = timeout(STAY_MOST, stream.read(&mut [0])).await;
--- a/lab/src/world/inject.rs
+++ b/lab/src/world/inject.rs
@@ -95,6 +95,7 @@
             match fault.kind {
                 Kind::Slow => booking.slow(fault.factor.unwrap_or(1.0)),
                 Kind::Hang => booking.hang(true),
+                Kind::Pause => booking.pause_answers(Some(ms(fault.latency_ms))),
                 Kind::Crash => {
                     booking.crash();
                     // The list hears of it in its time, unless it is back by then.
@@ -147,7 +148,10 @@
                 Kind::CutAfter => {
                     fault.direction.zip(fault.bytes).into_iter().for_each(|(d, n)| link.cut_after(d, n));
                 }
-                Kind::Reset => link.reset(),
+                Kind::Reset => {
+                    self.book.open().resets.push(self.clock.now());
+                    link.reset();
+                }
                 Kind::Line => link.set(Manner {
                     latency: ms(fault.latency_ms),
                     jitter: ms(fault.jitter_ms),
@@ -357,6 +361,7 @@
             match self.fault.kind {
                 Kind::Slow => booking.slow(1.0),
                 Kind::Hang => booking.hang(false),
+                Kind::Pause => booking.pause_answers(None),
                 Kind::Crash | Kind::Drain | Kind::CrashAt => self.restart(booking).await,
                 Kind::Break => booking.break_requests(None),
                 Kind::Reports => booking.spoil_reports(Reports::Sound),
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -209,6 +209,8 @@
     Restart,
     /// Servers are listed as draining; after `for` seconds they come back cold.
     Drain,
+    /// Servers pause for `latency_ms` twice within each answer.
+    Pause,
     /// `odds` of the servers' requests break at `point`.
     Break,
     /// Each of the servers crashes whole when its next request comes to `point`, and comes back cold after `for` seconds.
@@ -612,8 +614,10 @@
         use Kind::*;
         let no = |key: &str, reason: String| Err((key.to_string(), reason));
         let kind = serde_name(fault.kind);
-        let servers =
-            matches!(fault.kind, Slow | Hang | Crash | Restart | Drain | Break | CrashAt | Reports | Idle);
+        let servers = matches!(
+            fault.kind,
+            Slow | Hang | Pause | Crash | Restart | Drain | Break | CrashAt | Reports | Idle
+        );
         let building = matches!(fault.kind, Cut | HalfOpen | CutAfter | Reset | Line);
         let agents = fault.kind.is_of_agents();
         let needs: [(&str, bool, bool); 16] = [
@@ -625,7 +629,7 @@
             ("point", fault.point.is_some(), matches!(fault.kind, Break | CrashAt)),
             ("reports", fault.reports.is_some(), fault.kind == Reports),
             ("list", fault.list.is_some(), fault.kind == List),
-            ("latency_ms", fault.latency_ms.is_some(), matches!(fault.kind, Line | ListLate)),
+            ("latency_ms", fault.latency_ms.is_some(), matches!(fault.kind, Line | ListLate | Pause)),
             ("bytes", fault.bytes.is_some(), fault.kind == CutAfter),
             ("direction", fault.direction.is_some(), matches!(fault.kind, CutAfter | HalfOpen)),
             ("idle_ms", fault.idle_ms.is_some(), fault.kind == Idle),
