Losers of a hedge are cancelled, and a short answer ends with its time

All others that are in flight are cancelled now, so that what a link or the kernel still holds is dropped. Tests: the other attempt is cancelled whichever answers first.

--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -244,10 +244,10 @@
         let complete = tokio::select! {
             biased;
             complete = buffer(&mut body, &mut first, buffer_max) => complete?,
-            // An answer that is still arriving when its time is over may be late; one that is silent then has
-            // had its time.
+            // The time of a long answer counts to its first byte, that of a short one to its last: an answer
+            // without a stated length may be long, and is forwarded if it is still arriving.
             () = call.time_up(until) => {
-                if !owner.may_forward_late() || arrival.is_silent() {
+                if framing.is_some() || !owner.may_forward_late() || arrival.is_silent() {
                     pending::<()>().await;
                 }
                 false
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -46,10 +46,12 @@
     wrong.extend(outcome.crashed.iter().map(|agent| format!("agent-{agent} crashed, or was not ready")));
     wrong.extend(outcome.complaints.iter().cloned());
     let allowed_kib = outcome.world.limits.memory_mb * 1024;
-    let usages = outcome.frames.iter().flat_map(|frame| frame.agents.iter().flatten());
-    let peak_kib = usages.map(|usage| usage.rss_kib).max().unwrap_or_default();
-    if peak_kib > allowed_kib {
-        wrong.push(format!("an agent held {peak_kib} KiB of {allowed_kib}"));
+    for agent in 0..outcome.world.agents {
+        let usages = outcome.frames.iter().filter_map(|frame| frame.agents.get(agent)?.as_ref());
+        let peak_kib = usages.map(|usage| usage.rss_kib).max().unwrap_or_default();
+        if peak_kib > allowed_kib {
+            wrong.push(format!("agent-{agent} held {peak_kib} KiB of {allowed_kib}"));
+        }
     }
     let slow = outcome.ready_after.iter().filter(|took| **took > READY_MOST).count();
     if slow * 10 > outcome.ready_after.len() || outcome.ready_after.iter().any(|took| *took > READY_LAST) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -913,7 +913,7 @@
         }
         if closed {
             self.active_requests.remove(&id);
-            self.cancel_stalled(id, actions);
+            self.cancel_losers(id, actions);
         } else if let Some(active) = self.active_requests.get_mut(&id) {
             active.attempts[attempt.0 as usize].outcome = Some(outcome);
             let cost = match outcome {
--- a/src/decide/long_requests.rs
+++ b/src/decide/long_requests.rs
@@ -64,6 +64,6 @@
             (id, attempt.0),
             InFlightAttempt { stalled: false, half_open_record: None, ..in_flight_attempt },
         );
-        self.cancel_stalled(id, actions);
+        self.cancel_losers(id, actions);
     }
 }
--- a/src/decide/slow_answers.rs
+++ b/src/decide/slow_answers.rs
@@ -23,7 +23,7 @@
     }
 
     /// Nothing more of an answer has arrived for some time. Its attempt no longer counts against the limit of
-    /// its server, and its request is hedged if it can be. Without a client, the attempt is cancelled.
+    /// its server, and its request is hedged if it can be. Once that is answered, the attempt is cancelled.
     pub(super) fn answer_stalled(
         &mut self,
         now: Time,
@@ -37,21 +37,22 @@
             self.servers[in_flight.server].stalled += 1;
         }
         if !self.active_requests.contains_key(&id) {
-            self.cancel_stalled(id, actions);
+            self.cancel_losers(id, actions);
         } else if self.may_hedge(now, id) && self.dispatch(now, id, actions) {
             self.retry_tokens -= HEDGE_COST;
         }
     }
 
-    /// Cancels the attempts of an answered request whose answers have stalled.
-    pub(super) fn cancel_stalled(&self, id: RequestId, actions: &mut Vec<Action>) {
+    /// Cancels the attempts of an answered request that are still in flight: what has not reached its server
+    /// by now must not reach it later.
+    pub(super) fn cancel_losers(&self, id: RequestId, actions: &mut Vec<Action>) {
         if !self.settings.cancel {
             return;
         }
         let attempts = self.in_flight_attempts.range((id, 0)..=(id, u32::MAX));
-        let stalled = attempts.filter(|(_, attempt)| attempt.stalled);
+        let losers = attempts.filter(|(_, attempt)| attempt.stage != AttemptStage::StreamingAnswer);
         actions.extend(
-            stalled.map(|(&(request, number), _)| Action::Cancel { request, attempt: AttemptNo(number) }),
+            losers.map(|(&(request, number), _)| Action::Cancel { request, attempt: AttemptNo(number) }),
         );
     }
 
--- a/tests/slow_answers.rs
+++ b/tests/slow_answers.rs
@@ -58,15 +58,18 @@
     }
 }
 
-/// The answer that has stalled is not needed once another one has been served.
+/// Of two attempts the other one is not needed once its request has been answered. What a link holds of it would
+/// reach its server after the answer.
 #[test]
-fn a_stalled_attempt_is_cancelled_once_its_request_is_answered() {
-    let mut harness = harness(Effect::Idempotent, true, 4);
-    let (id, _) = harness.submit(0);
-    begin(&mut harness, id);
-    assert_eq!(sends(&stall(&mut harness, id, 0)), 1);
-    let actions = finish(&mut harness, id, 1);
-    assert!(actions.contains(&Action::Cancel { request: id, attempt: AttemptNo(0) }), "{actions:?}");
+fn the_other_attempt_is_cancelled_once_its_request_is_answered() {
+    for (answered, other) in [(1, 0), (0, 1)] {
+        let mut harness = harness(Effect::Idempotent, true, 4);
+        let (id, _) = harness.submit(0);
+        begin(&mut harness, id);
+        assert_eq!(sends(&stall(&mut harness, id, 0)), 1);
+        let actions = finish(&mut harness, id, answered);
+        assert!(actions.contains(&Action::Cancel { request: id, attempt: AttemptNo(other) }), "{actions:?}");
+    }
 }
 
 /// A server that has begun to answer is alive, however long the rest takes.
