--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the
 //! disruption out.
 
+mod cells;
 mod cut_zone;
 mod door;
 mod short_length;
--- a/review/standins-2/src/slow_discovery.rs
+++ b/review/standins-2/src/slow_discovery.rs
@@ -1,6 +1,9 @@
-//! A discovery service that is slow: the head of each answer is written at once, its body `BODY_DELAY` later. A
-//! backend begins to drain. Nothing may be sent to it later than the settings allow.
+//! A discovery service that is slow: the head of each answer is written at once, its body `BODY_DELAY` later. One
+//! backend begins to drain, and another one is replaced at its address by a new one of another cell. Once that counts
+//! as told, a keyed request that may have run must not be repeated outside its cell, and nothing may be sent to the
+//! backend that drains later than the settings allow.
 
+use crate::cells::{Cells, Run};
 use crate::world::*;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -31,35 +34,7 @@
 
 pub fn play(folder: &Path, trouble: bool) -> bool {
     let (record, scratch) = (Record::new(), Scratch::new());
-    // Each send to a backend: which one, the call id, and when its first byte came.
-    let sends: Arc<Mutex<Vec<(usize, String, Instant)>>> = Arc::default();
-    let targets: Vec<Target> = (0..3)
-        .map(|number| {
-            let (sends, record) = (Arc::clone(&sends), record.clone());
-            let endpoint = backend(
-                None,
-                Arc::new(move |request, out| {
-                    if answer_probe(request, out)? {
-                        return Ok(());
-                    }
-                    let id = request.header("x-call-id").unwrap_or("").to_string();
-                    let first_byte = request.first_byte.unwrap_or_else(Instant::now);
-                    record.at(first_byte, format!("s-{number}: request {id} arrives"));
-                    sends.lock().unwrap().push((number, id.clone(), first_byte));
-                    thread::sleep(ms(20));
-                    answer_200(out, &format!("{id} by s-{number}"))
-                }),
-            );
-            Target {
-                uid: format!("s-{number}"),
-                endpoint,
-                az: "san-fernando".into(),
-                cell: 0,
-                state: "SERVING",
-                boot_ms: 0.0,
-            }
-        })
-        .collect();
+    let cells = Cells::start(&record);
     let writer: Arc<Writer> = if trouble {
         Arc::new(|stream, head, body| {
             use std::io::Write;
@@ -70,8 +45,11 @@
     } else {
         Arc::new(write_at_once)
     };
-    let discovery = Discovery::start(targets, &record, writer);
+    let discovery = Discovery::start(cells.targets.clone(), &record, writer);
     let known = discovery.known();
+    // "Their settings may give a class another effect than the site does": log-session's repeats are dropped by a cell.
+    let settings = SETTINGS
+        .replace(r#""effect":"deduplicated","group":"all""#, r#""effect":"deduplicated","group":"cell""#);
     let plan = AgentPlan {
         name: "n0",
         listen: free_address(),
@@ -80,7 +58,7 @@
         memory_mb: 192,
         sockets: 1024,
         known: &known,
-        settings: SETTINGS,
+        settings: &settings,
         admin: None,
     };
     let mut agent = Agent::start(&scratch.0, &plan);
@@ -105,12 +83,7 @@
     let mut n = 0;
     while began.elapsed() < DAY {
         if drained.is_none() && began.elapsed() >= DRAIN_AT {
-            let rev = discovery.change(|targets| {
-                targets[2].state = "DRAINING";
-                vec![2]
-            });
-            drained = Some((Instant::now(), rev));
-            record.now(format!("s-2 begins to drain: version {rev}"));
+            drained = Some(cells.change(&discovery, &record));
         }
         let reads = n % 3 != 0;
         let id = format!("{n:016x}");
@@ -134,28 +107,39 @@
     let written =
         discovery.written.lock().unwrap().iter().find(|(version, _)| *version >= rev).map(|(_, at)| *at);
     let told = drained + TOLD_WITHIN;
-    let sends = sends.lock().unwrap();
-    let late: Vec<_> = sends.iter().filter(|(number, _, at)| *number == 2 && *at > told + GRACE).collect();
-    let before = sends.iter().filter(|(number, _, at)| *number == 2 && *at < drained).count();
+    let sends = cells.sends.lock().unwrap();
+    let late: Vec<_> = sends.iter().filter(|(number, _, at)| *number == 3 && *at > told + GRACE).collect();
+    let before = sends.iter().filter(|(number, _, at)| *number == 3 && *at < drained).count();
+    let runs = cells.runs.lock().unwrap();
+    // A second effect, in another cell, of a request that was sent once the change counted as told.
+    let doubled: Vec<(&String, &Vec<Run>)> =
+        runs.iter().filter(|(_, runs)| runs.len() > 1 && runs[0].at > told + ms(50)).collect();
+    let early = runs.values().filter(|runs| runs.len() > 1).count() - doubled.len();
     let served = answers.lock().unwrap().iter().filter(|status| **status == 200).count();
     let since = |at: Instant| format!("{:.3} s", at.saturating_duration_since(drained).as_secs_f64());
     let mut head = vec![
         format!("trouble: {trouble}; requests sent by clients: {n}, served: {served}; the agent ran to the end: {lived}"),
-        format!("sends to s-2 before its drain: {before}"),
-        format!("an answer with the drain was first written whole {} after the drain", written.map_or("never".into(), since)),
-        format!("sends to s-2 later than told (6 s at the latest) + grace 2 s + 50 ms: {}", late.len()),
+        format!("sends to s-3 before its drain: {before}"),
+        format!("keyed requests that took effect in two cells though the change counted as told: {} (before that: {early})", doubled.len()),
+        format!("an answer with the changes was first written whole {} after them", written.map_or("never".into(), since)),
+        format!("sends to s-3 later than told (6 s at the latest) + grace 2 s + 50 ms: {}", late.len()),
     ];
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
         head.push(format!(
-            "the first of them {} after the drain, the last {}",
+            "the first of these sends {} after the drain, the last {}",
             since(first.2),
             since(last.2)
         ));
     }
+    for (id, runs) in doubled.iter().take(5) {
+        let runs: Vec<String> =
+            runs.iter().map(|run| format!("{} (cell {}) {}", run.backend, run.cell, since(run.at))).collect();
+        head.push(format!("  {id}: {}", runs.join(", then ")));
+    }
     head.iter().for_each(|line| println!("{line}"));
     record.write(folder, &head);
     if before == 0 || !lived {
-        cannot_run("s-2 got nothing before its drain, or the agent has ended");
+        cannot_run("s-3 got nothing before its drain, or the agent has ended");
     }
-    !late.is_empty()
+    !late.is_empty() || !doubled.is_empty()
 }
--- a/review/standins-2/src/upgrade.rs
+++ b/review/standins-2/src/upgrade.rs
@@ -2,6 +2,7 @@
 //! has drained since, and that discovery has told the old process of. What discovery has told binds the agent from
 //! 2 s after the new process says yes.
 
+use crate::cells::Cells;
 use crate::slow_discovery::SETTINGS;
 use crate::world::*;
 use std::io::{Read, Write};
@@ -36,42 +37,13 @@
 
 pub fn play(folder: &Path, trouble: bool) -> bool {
     let (record, scratch) = (Record::new(), Scratch::new());
-    // Sends to the drained backend: the call id and when its first byte came.
-    let sends: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
-    let targets: Vec<Target> = (0..4)
-        .map(|number| {
-            let (sends, record) = (Arc::clone(&sends), record.clone());
-            let endpoint = backend(
-                None,
-                Arc::new(move |request, out| {
-                    if answer_probe(request, out)? {
-                        return Ok(());
-                    }
-                    let id = request.header("x-call-id").unwrap_or("").to_string();
-                    if number == 3 {
-                        let first_byte = request.first_byte.unwrap_or_else(Instant::now);
-                        record.at(first_byte, format!("s-3: request {id} arrives"));
-                        sends.lock().unwrap().push((id.clone(), first_byte));
-                    }
-                    thread::sleep(ms(20));
-                    answer_200(out, &id)
-                }),
-            );
-            Target {
-                uid: format!("s-{number}"),
-                endpoint,
-                az: "san-fernando".into(),
-                cell: 0,
-                state: "SERVING",
-                boot_ms: 0.0,
-            }
-        })
-        .collect();
-    let discovery = Discovery::start(targets, &record, Arc::new(write_at_once));
+    let cells = Cells::start(&record);
+    let discovery = Discovery::start(cells.targets.clone(), &record, Arc::new(write_at_once));
     let known = discovery.known();
     let settings = SETTINGS
         .replace("\"balancers\":1,", &format!("\"balancers\":{BALANCERS},"))
-        .replace("\"stopSendingWithinMs\":2000.0", "\"stopSendingWithinMs\":500.0");
+        .replace("\"stopSendingWithinMs\":2000.0", "\"stopSendingWithinMs\":500.0")
+        .replace(r#""effect":"deduplicated","group":"all""#, r#""effect":"deduplicated","group":"cell""#);
     let sockets: Vec<TcpListener> = (0..AGENTS)
         .map(|_| TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string())))
         .collect();
@@ -115,11 +87,11 @@
                     }
                     application.send(Ask {
                         id: format!("{number:04x}{n:012x}"),
-                        class: "read-schedule",
-                        method: "GET",
-                        keyed: false,
+                        class: if n % 3 != 0 { "log-session" } else { "read-schedule" },
+                        method: if n % 3 != 0 { "POST" } else { "GET" },
+                        keyed: n % 3 != 0,
                         caller: "south-courts",
-                        budget_ms: 400,
+                        budget_ms: if n % 3 != 0 { 1500 } else { 400 },
                     });
                     thread::sleep(ms(50));
                 }
@@ -128,13 +100,8 @@
         .collect();
     // By now each agent has a watch: it asks within 4 s of its start.
     thread::sleep(Duration::from_secs(5));
-    let before = sends.lock().unwrap().len();
-    let rev = discovery.change(|targets| {
-        targets[3].state = "DRAINING";
-        vec![3]
-    });
-    let drained = Instant::now();
-    record.now(format!("s-3 begins to drain: version {rev}"));
+    let before = cells.sends.lock().unwrap().iter().filter(|(number, _, _)| *number == 3).count();
+    let (drained, _) = cells.change(&discovery, &record);
     thread::sleep(Duration::from_secs(4));
     // Each yes, and the moment from which no send may come, unless the next upgrade of that agent has begun.
     let mut spans: Vec<(usize, usize, Instant, Instant)> = Vec::new();
@@ -180,7 +147,10 @@
     thread::sleep(ms(800));
     let lived = agents.iter_mut().all(Agent::runs);
     drop(agents);
-    let sends = sends.lock().unwrap();
+    let sends = cells.sends.lock().unwrap();
+    let sends: Vec<(&str, Instant)> =
+        sends.iter().filter(|send| send.0 == 3).map(|send| (send.1.as_str(), send.2)).collect();
+    let runs = cells.runs.lock().unwrap();
     let agent_of = |id: &str| usize::from_str_radix(&id[..4], 16).unwrap_or(usize::MAX);
     let late = |(number, _, yes, over): &(usize, usize, Instant, Instant)| -> Vec<f64> {
         let of_it = sends
@@ -193,6 +163,32 @@
         .map(|span| (span.0, span.1, late(span)))
         .filter(|(_, _, late)| !late.is_empty())
         .collect();
+    // A second effect, in another cell, of a request that was sent once the news bound the agent.
+    let mut doubled: Vec<(usize, usize, String)> = Vec::new();
+    for (number, round, yes, over) in &spans {
+        let bound = *yes + BINDS_AFTER + ms(50);
+        for (id, runs) in runs.iter().filter(|(id, runs)| agent_of(id) == *number && runs.len() > 1) {
+            if runs[0].at > bound && runs[0].at < *over {
+                let runs: Vec<String> = runs
+                    .iter()
+                    .map(|run| {
+                        format!(
+                            "{} (cell {}) {:.3} s after the yes",
+                            run.backend,
+                            run.cell,
+                            (run.at - *yes).as_secs_f64()
+                        )
+                    })
+                    .collect();
+                doubled.push((*number, *round, format!("{id}: {}", runs.join(", then "))));
+            }
+        }
+    }
+    let doubled_plain = if trouble {
+        0
+    } else {
+        runs.values().filter(|runs| runs.len() > 1 && runs[0].at > drained + ms(50)).count()
+    };
     // Without an upgrade, or outside one, the drain binds after the grace.
     let plain = if trouble { 0 } else { sends.iter().filter(|(_, at)| *at > drained + GRACE).count() };
     let served = statuses.lock().unwrap().iter().filter(|status| **status == 200).count();
@@ -206,8 +202,15 @@
             "upgrades after which s-3 was sent to later than 2 s after the yes + grace 0.5 s + 50 ms: {}",
             broken.len()
         ),
-        format!("sends to s-3 later than the drain + grace, with no upgrade: {plain}"),
+        format!(
+            "keyed requests that took effect in two cells later than 2 s after the yes: {}",
+            doubled.len()
+        ),
+        format!("the same two with no upgrade: {plain} sends, {doubled_plain} requests"),
     ];
+    for (number, round, text) in doubled.iter().take(6) {
+        head.push(format!("  n{number}, upgrade {round}: {text}"));
+    }
     for (number, round, late) in &broken {
         head.push(format!(
             "  n{number}, upgrade {round}: {} sends, the last {:.3} s after the yes",
@@ -220,5 +223,5 @@
     if before == 0 || !lived {
         cannot_run("s-3 got nothing before its drain, or an agent has ended");
     }
-    !broken.is_empty() || plain > 0
+    !broken.is_empty() || !doubled.is_empty() || plain + doubled_plain > 0
 }
