Review case 9: a panic of the decision module holds other answers back

Cause: held answers are looked at for requests whose client has left; an index of a request that has gone panics, and the timer's event is dropped. Change: the case.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,7 +5,7 @@
 mod cells;
 mod cut_zone;
 mod door;
-mod short_length;
+mod left_client;
 mod slow_discovery;
 mod upgrade;
 mod world;
@@ -30,7 +30,7 @@
         "cut-zone" => cut_zone::play(&folder, trouble),
         "door" => door::play(&folder, trouble),
         "upgrade" => upgrade::play(&folder, trouble),
-        "short-length" => short_length::play(&folder, trouble),
+        "left-client" => left_client::play(&folder, trouble),
         _ => world::cannot_run("no such case"),
     };
     println!("{}", if broken { "the rule was BROKEN" } else { "the rule held" });
