--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -6,4 +6,18 @@
     echo "the case could not run: build it with the deploy file's build and review/build-2.sh" >&2
     exit 2
 fi
-exec "$standins" "$1" "$2"
+scratch=$(mktemp -d) || exit 2
+# The case ends what it has started; where it is ended itself, the agents are its children.
+stop() {
+    kill -KILL $(ps -o pid= --ppid "$case") "$case" 2>/dev/null
+    rm -rf "$scratch"
+    exit 2
+}
+trap stop INT TERM HUP
+TMPDIR=$scratch "$standins" "$1" "$2" &
+case=$!
+wait "$case"
+status=$?
+rm -rf "$scratch"
+[ "$status" -le 2 ] || status=2
+exit "$status"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -20,7 +20,7 @@
         world::cannot_run("usage: review-standins-2 CASE FOLDER")
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    // No case takes longer than 80 s; one that hangs could not run.
+    // No case takes longer than 90 s; one that hangs could not run.
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(112));
         world::cannot_run("it has not ended after 112 s");
--- a/review/standins-2/src/upgrade.rs
+++ b/review/standins-2/src/upgrade.rs
@@ -15,7 +15,7 @@
 /// "8 to 48 agents": the settings name 48, of which these are real here. Each is upgraded `ROUNDS` times.
 const BALANCERS: usize = 48;
 const AGENTS: usize = 6;
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 7;
 /// `rules.stopSendingWithinMs`, as the other deployment's site file has it, and the slack on sockets.
 const GRACE: Duration = Duration::from_millis(500 + 50);
 /// "News of discovery binds from 2 s after the yes."
