--- a/review/standins-2/src/door.rs
+++ b/review/standins-2/src/door.rs
@@ -95,6 +95,7 @@
             let mut stream = TcpStream::connect(listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
             let _ = stream.set_nodelay(true);
             let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
+            record.now(format!("client {n}: its first request is sent"));
             let _ = stream.write_all(ask(n, 0).text().as_bytes());
             let answer = read_answer(&mut stream);
             record.now(format!("client {n}: its first request ends: {answer:?}"));
--- a/review/standins-2/src/upgrade.rs
+++ b/review/standins-2/src/upgrade.rs
@@ -74,10 +74,14 @@
     let statuses: Arc<Mutex<Vec<u32>>> = Arc::default();
     let clients: Vec<_> = (0..AGENTS)
         .map(|number| {
-            let (end, statuses) = (Arc::clone(&end), Arc::clone(&statuses));
+            let (end, statuses, record) = (Arc::clone(&end), Arc::clone(&statuses), record.clone());
             let listen = agents[number].listen;
             thread::spawn(move || {
-                let ended = move |_: &Ask, _: Instant, ending: Ending| {
+                let of_ends = record.clone();
+                let ended = move |ask: &Ask, _: Instant, ending: Ending| {
+                    let text =
+                        ending.as_ref().map_or_else(String::clone, |answer| answer.status().to_string());
+                    of_ends.now(format!("client: {} ends: {text}", ask.id));
                     statuses.lock().unwrap().push(ending.map_or(0, |answer| answer.status()));
                 };
                 let application = Application::new(listen, Arc::new(ended));
@@ -85,8 +89,10 @@
                     if *end.lock().unwrap() {
                         return;
                     }
+                    let id = format!("{number:04x}{n:012x}");
+                    record.now(format!("client: {id} is sent to n{number}"));
                     application.send(Ask {
-                        id: format!("{number:04x}{n:012x}"),
+                        id,
                         class: if n % 3 != 0 { "log-session" } else { "read-schedule" },
                         method: if n % 3 != 0 { "POST" } else { "GET" },
                         keyed: n % 3 != 0,
