Log why an answer of discovery is given up: stalled, unfinished or malformed

Cause of this change: the log said "malformed answer" for a pause, a long body and a cut body alike. Change: PollError tells them apart, with the bytes that had come. Behaviour is as before.

--- a/agent/src/sources/freshness.rs
+++ b/agent/src/sources/freshness.rs
@@ -115,7 +115,16 @@
     /// No connection, a connection that closed before the answer, or a status other than 200.
     #[error("the call failed")]
     Failed,
-    /// The answer is truncated, stalled, too long or malformed.
+    /// The answer has begun, and no more of it came for some time.
+    #[error("the answer stalled after {received} bytes of its body")]
+    Stalled {
+        /// Bytes of its body that had come.
+        received: usize,
+    },
+    /// The answer has begun, and its body did not end in time.
+    #[error("the answer did not end in time")]
+    Unfinished,
+    /// The answer is truncated, too long or malformed.
     #[error("malformed answer")]
     Malformed,
 }
@@ -244,7 +253,7 @@
             _ => State::Failing,
         };
         match (before, error) {
-            (State::UpToDate, PollError::TimedOut | PollError::Malformed) => FollowUp::PollAgain,
+            (State::UpToDate, error) if error != PollError::Failed => FollowUp::PollAgain,
             (State::New, _) => FollowUp::Pause(self.policy.pushed_interval()),
             _ if pushed => FollowUp::Pause(self.policy.pushed_interval()),
             _ => FollowUp::ReportFailure,
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -108,7 +108,7 @@
         }
         let body = timeout(BODY_TIMEOUT, read_body(answer.into_body()))
             .await
-            .map_err(|_| PollError::Malformed)??;
+            .map_err(|_| PollError::Unfinished)??;
         let list: ListReply = serde_json::from_slice(&body).map_err(|_| PollError::Malformed)?;
         if list.targets.none_readable() {
             return Err(PollError::Malformed);
@@ -121,7 +121,9 @@
 /// Reads a body to its end, within [`LIST_BYTES_MAX`] bytes and without a stall of [`STALL_TIMEOUT`].
 async fn read_body(mut body: Incoming) -> Result<Bytes, PollError> {
     let mut read = BytesMut::new();
-    while let Some(frame) = timeout(STALL_TIMEOUT, body.frame()).await.map_err(|_| PollError::Malformed)? {
+    loop {
+        let frame = timeout(STALL_TIMEOUT, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| PollError::Stalled { received: read.len() })? else { break };
         let Ok(data) = frame.map_err(|_| PollError::Malformed)?.into_data() else { continue };
         if read.len() + data.len() > LIST_BYTES_MAX {
             return Err(PollError::Malformed);
