A slow answer of discovery is read on beside another call, not begun again for ever

Cause: a call was given up after a pause of 250 ms, 2 s of body, its timeout or 1 s of connecting; what it had brought was thrown away, and the next call met the same pace. Nothing bounded the repetition. Ruled out: versions (the applied one never moves), refused calls (none in the record). Change: a slow call is overtaken by another one and read on. freshness/patience.rs decides when, how many (4, or 8 on the agent's own machine), and which is closed. Connect, head and body have no timeout of their own any more; long polls, immediate polls, a new source and whole lists go the same way. An older version that comes late changes nothing.

--- a/agent/src/sources/freshness.rs
+++ b/agent/src/sources/freshness.rs
@@ -10,9 +10,16 @@
 //!
 //! `LONG_POLL_SLACK + immediate polls <= 2 s + grace`, and `<= 6 s - hold + grace` where the hold is short.
 //!
+//! A slow answer is not a silent one, and neither can be told from the other in time. So a call that takes longer
+//! than that is overtaken by another one and read on ([`patience`]); the answer that comes first is applied, and
+//! an older version than the known one never is. What a slow answer tells may be as old as its call.
+//!
 //! Long polls of many agents begin at the same moment, when a change reaches them all. Each agent draws its
 //! hold time at random, so that neither the ends of those polls nor the polls after a common outage coincide.
 
+pub mod patience;
+
+use self::patience::CallPatience;
 use ryelead::{Discovery, Settings};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -26,18 +33,17 @@
 const HOLD_MAX_PUSHED: Duration = Duration::from_secs(2);
 const HOLD_MIN: Duration = Duration::from_millis(500);
 /// Where one discovery service serves all agents: the interval between immediate polls, how many of them are
-/// made after a long poll has failed, and the timeout of each. The service abandons its own calls earlier
-/// than that.
+/// made after a long poll has failed, and how long the last one is waited for. The service abandons its own calls
+/// earlier than that.
 const IMMEDIATE_INTERVAL: Duration = Duration::from_millis(500);
 const IMMEDIATE_CALLS_MAX: u32 = 3;
 const IMMEDIATE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Interval of the polls to a new source, which are made until one is answered: its list counts as known
 /// after 4 s.
 const NEW_SOURCE_INTERVAL: Duration = Duration::from_secs(1);
-/// Where lists are pushed: the bounds of the interval between polls, which is a quarter of the drain grace,
-/// and the most polls in flight. A source that was down is polled again within one interval.
+/// Where lists are pushed: the bounds of the interval between polls, which is a quarter of the drain grace. A
+/// source that was down is polled again within one interval.
 const PUSHED_INTERVAL: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-const PUSHED_IN_FLIGHT_MAX: u32 = 8;
 /// Pause after an immediate answer without changes, so that a service that does not hold calls is not polled
 /// in a tight loop; well within the 200 ms that may pass between two long polls.
 const EMPTY_PAUSE: Duration = Duration::from_millis(100);
@@ -82,24 +88,23 @@
 /// The next call to the source.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextCall {
-    /// Returns what is newer than `from`, as soon as there is something or `hold` is over; times out after
-    /// `give_up_after`.
+    /// Returns what is newer than `from`, as soon as there is something or `hold` is over.
     LongPoll {
         /// The version that the agent has.
         from: i64,
         /// How long the source is asked to hold the call.
         hold: Duration,
-        /// The timeout of the call.
+        /// When its answer must have begun; another call is made beside it otherwise.
         give_up_after: Duration,
     },
-    /// Returns what there is, at once. A new call starts each `interval` until one is answered; each times
-    /// out after `call_timeout`.
+    /// Returns what there is, at once. A new call starts each `interval` until one is answered; the series has
+    /// failed `call_timeout` after the last one.
     Immediate {
         /// Only what is newer than this version; the whole list if `None`.
         from: Option<i64>,
         /// The interval between two calls.
         interval: Duration,
-        /// The timeout of each call.
+        /// How long the last call is waited for. It is read on after that.
         call_timeout: Duration,
         /// The most calls; unlimited if `None`.
         max_calls: Option<u32>,
@@ -109,21 +114,12 @@
 /// Why a call returned no list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PollError {
-    /// No answer came in time.
-    #[error("no answer in time")]
+    /// The answer did not begin in time, or stalled, or did not end in time. It may still arrive.
+    #[error("no whole answer in time")]
     TimedOut,
     /// No connection, a connection that closed before the answer, or a status other than 200.
     #[error("the call failed")]
     Failed,
-    /// The answer has begun, and no more of it came for some time.
-    #[error("the answer stalled after {received} bytes of its body")]
-    Stalled {
-        /// Bytes of its body that had come.
-        received: usize,
-    },
-    /// The answer has begun, and its body did not end in time.
-    #[error("the answer did not end in time")]
-    Unfinished,
     /// The answer is truncated, too long or malformed.
     #[error("malformed answer")]
     Malformed,
@@ -184,6 +180,7 @@
     version: Option<i64>,
     older_since: Option<Instant>,
     random: fastrand::Rng,
+    patience: CallPatience,
 }
 
 impl Freshness {
@@ -195,7 +192,13 @@
             Some(_) if policy.pushed => State::MaybeStale,
             Some(_) => State::UpToDate,
         };
-        Freshness { policy, state, version, older_since: None, random: fastrand::Rng::with_seed(seed) }
+        let (random, patience) = (fastrand::Rng::with_seed(seed), CallPatience::new(policy.pushed));
+        Freshness { policy, state, version, older_since: None, random, patience }
+    }
+
+    /// How long the calls are waited for.
+    pub fn patience(&mut self) -> &mut CallPatience {
+        &mut self.patience
     }
 
     /// Returns the next call to make.
@@ -218,7 +221,7 @@
     fn immediate_pacing(&self, default_interval: Duration) -> (Duration, Duration) {
         let interval = self.policy.pushed_interval();
         if self.policy.pushed {
-            (interval, interval * PUSHED_IN_FLIGHT_MAX)
+            (interval, interval)
         } else {
             (default_interval, IMMEDIATE_TIMEOUT)
         }
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -1,137 +1,25 @@
 //! Polls the platform's discovery service for the list of servers. [`Freshness`] decides which calls are made
-//! and when; this module makes them.
+//! and when, and which of them are closed; this module makes them.
 
+mod calls;
+mod connection;
+
+use self::calls::{CallId, Calls, EndedCall};
+use self::connection::Source;
 use crate::driver::Driver;
 use crate::list::{DiscoveryCommands, ListReply};
 use crate::log::log;
-use crate::metered_stream::{Gauge, MeteredStream};
-use crate::metrics::Count;
 use crate::sources::freshness::{Acceptance, FollowUp, Freshness, NextCall, PollError, PollPolicy};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
-/// Timeout of a TCP connect to the discovery service.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout of a call for the whole list that the decision module requested.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// A call for the whole list that the decision module requested is reported as failed after this time, and read
+/// on.
+const FETCH_REPORT_TIME: Duration = Duration::from_secs(5);
 /// Path of the whole list; with a version in the query it is a long poll for newer changes.
 const LIST_PATH: &str = "/registry/instances";
-/// Largest list that is read, in bytes: some tens of thousands of entries.
-const LIST_BYTES_MAX: usize = 8 * 1024 * 1024;
-/// An answer whose body stalls for this long is given up; so is one that has not ended after `BODY_TIMEOUT`.
-/// Its contents may count as known from its first byte.
-const STALL_TIMEOUT: Duration = Duration::from_millis(250);
-const BODY_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a connection may take to become ready for the next call.
-const READY_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// A keep-alive connection to the discovery service, closed when dropped.
-struct Connection {
-    sender: SendRequest<Empty<Bytes>>,
-    task: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-async fn connect(address: SocketAddr) -> Result<Connection, PollError> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| PollError::TimedOut)?.map_err(|_| PollError::Failed)?;
-    let (wire, _) = MeteredStream::new(stream, Gauge::default().enter());
-    let (sender, connection) = http1::handshake(wire).await.map_err(|_| PollError::Failed)?;
-    let task = tokio::task::spawn_local(async move {
-        let _ = connection.await;
-    });
-    Ok(Connection { sender, task: task.abort_handle() })
-}
-
-/// A list, and its connection if that can be used again.
-type ListAnswer<Connection> = (ListReply, Option<Connection>);
-
-/// A service that answers calls for the list.
-trait Source: Clone + 'static {
-    /// A connection that is kept between two calls.
-    type Connection;
-
-    /// Makes one call, whose answer must begin within `call_timeout`.
-    async fn call(
-        self,
-        kept: Option<Self::Connection>,
-        path: String,
-        call_timeout: Duration,
-    ) -> Result<ListAnswer<Self::Connection>, PollError>;
-}
-
-/// The discovery service at this address.
-impl Source for SocketAddr {
-    type Connection = Connection;
-
-    async fn call(
-        self,
-        kept: Option<Connection>,
-        path: String,
-        call_timeout: Duration,
-    ) -> Result<ListAnswer<Connection>, PollError> {
-        let answer = async {
-            // A connection that the service closed between two calls is no failure of the next call.
-            let mut connection = match kept.filter(|connection| connection.sender.is_ready()) {
-                Some(connection) => connection,
-                None => connect(self).await?,
-            };
-            let request = Request::get(path).header(HOST, self.to_string()).body(Empty::new());
-            let answer = connection.sender.send_request(request.map_err(|_| PollError::Failed)?).await;
-            Ok((
-                connection,
-                answer.map_err(
-                    |error| if error.is_parse() { PollError::Malformed } else { PollError::Failed },
-                )?,
-            ))
-        };
-        let (mut connection, answer) =
-            timeout(call_timeout, answer).await.map_err(|_| PollError::TimedOut)??;
-        if answer.status() != StatusCode::OK {
-            return Err(PollError::Failed);
-        }
-        let body = timeout(BODY_TIMEOUT, read_body(answer.into_body()))
-            .await
-            .map_err(|_| PollError::Unfinished)??;
-        let list: ListReply = serde_json::from_slice(&body).map_err(|_| PollError::Malformed)?;
-        if list.targets.none_readable() {
-            return Err(PollError::Malformed);
-        }
-        let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await.is_ok_and(|ready| ready.is_ok());
-        Ok((list, ready.then_some(connection)))
-    }
-}
-
-/// Reads a body to its end, within [`LIST_BYTES_MAX`] bytes and without a stall of [`STALL_TIMEOUT`].
-async fn read_body(mut body: Incoming) -> Result<Bytes, PollError> {
-    let mut read = BytesMut::new();
-    loop {
-        let frame = timeout(STALL_TIMEOUT, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| PollError::Stalled { received: read.len() })? else { break };
-        let Ok(data) = frame.map_err(|_| PollError::Malformed)?.into_data() else { continue };
-        if read.len() + data.len() > LIST_BYTES_MAX {
-            return Err(PollError::Malformed);
-        }
-        read.extend_from_slice(&data);
-    }
-    Ok(read.freeze())
-}
 
 /// The path and query of a call.
 fn path(from: Option<i64>, hold: Duration) -> String {
@@ -141,6 +29,14 @@
     }
 }
 
+/// Why a call or a series of calls is not waited for any longer.
+enum Unanswered {
+    /// It failed, or has been overtaken.
+    Error(PollError),
+    /// The decision module does not follow the list any more.
+    Unfollowed,
+}
+
 /// Polls the discovery service for as long as the agent lives, also after it has moved. `known` is the
 /// version of the list in the agent's configuration.
 pub async fn run(driver: Driver, commands: Rc<DiscoveryCommands>, known: i64, policy: PollPolicy, seed: u64) {
@@ -190,36 +86,49 @@
     /// since the long poll carries the push.
     async fn follow(&self) {
         let mut following = self.commands.watching();
+        let mut calls = self.no_calls();
         let mut connection = None;
         loop {
-            if self.freshness.borrow().version().is_some()
-                && following.wait_for(|active| *active).await.is_err()
-            {
-                return;
+            if self.freshness.borrow().version().is_some() {
+                // Calls that have been overtaken are read on while the next one has to wait.
+                tokio::select! {
+                    biased;
+                    ended = calls.next_ended() => {
+                        // Its failure changes nothing: another call has been made since.
+                        let _ = self.take_late_answer(&mut calls, ended);
+                        continue;
+                    }
+                    active = following.wait_for(|active| *active) => if active.is_err() { return },
+                }
             }
             let next = self.freshness.borrow_mut().next_call();
-            let sent_at = Instant::now();
             let answer = match next {
-                NextCall::LongPoll { from, hold, give_up_after } => tokio::select! {
-                    answer = self.call(connection.take(), path(Some(from), hold), give_up_after) => answer,
-                    _ = following.wait_for(|active| !active) => continue,
-                },
-                NextCall::Immediate { from, interval, call_timeout, max_calls } => {
+                NextCall::LongPoll { from, hold, give_up_after } => {
+                    let id = self.start(&mut calls, connection.take(), Some(from), hold);
+                    let begin_by = Instant::now() + give_up_after;
+                    tokio::select! {
+                        answer = self.long_poll(&mut calls, id, begin_by) => answer.map_err(Unanswered::Error),
+                        _ = following.wait_for(|active| !active) => Err(Unanswered::Unfollowed),
+                    }
+                    .inspect_err(|error| {
+                        if matches!(error, Unanswered::Unfollowed) {
+                            calls.close(id);
+                        }
+                    })
+                }
+                NextCall::Immediate { .. } => {
                     connection = None;
-                    self.poll_until_answered(path(from, Duration::ZERO), interval, call_timeout, max_calls)
-                        .await
+                    self.poll_until_answered(&mut calls, next).await.map_err(Unanswered::Error)
                 }
             };
             match answer {
-                Ok((list, kept)) => {
+                Ok(ended) => {
+                    let (kept, pause) = self.take_answer(&mut calls, ended);
                     connection = kept;
-                    let list = ListReply {
-                        all: list.all || matches!(next, NextCall::Immediate { from: None, .. }),
-                        ..list
-                    };
-                    sleep(self.apply_list(list, sent_at)).await;
+                    sleep(pause).await;
                 }
-                Err(error) => match self.on_failure(error) {
+                Err(Unanswered::Unfollowed) => {}
+                Err(Unanswered::Error(error)) => match self.on_failure(error) {
                     FollowUp::PollAgain => {}
                     FollowUp::Pause(pause) => sleep(pause).await,
                     FollowUp::ReportFailure => {
@@ -233,74 +142,176 @@
 
     /// Fetches the whole list whenever the decision module requests it.
     async fn fetch(&self) {
+        let mut calls = self.no_calls();
+        let mut report_at = None;
         loop {
-            self.commands.fetch_requested().await;
-            let sent_at = Instant::now();
-            match self.call(None, path(None, Duration::ZERO), FETCH_TIMEOUT).await {
-                Ok((list, _)) => drop(self.apply_list(list, sent_at)),
-                Err(_) => self.driver.list_failed(),
+            let overdue = async {
+                match report_at {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = self.commands.fetch_requested() => {
+                    self.start(&mut calls, None, None, Duration::ZERO);
+                    report_at = Some(Instant::now() + FETCH_REPORT_TIME);
+                }
+                ended = calls.next_ended() => {
+                    if self.take_late_answer(&mut calls, ended).is_err() && report_at.take().is_some() {
+                        self.driver.list_failed();
+                    }
+                    if calls.count() == 0 {
+                        report_at = None;
+                    }
+                }
+                () = overdue => {
+                    report_at = None;
+                    self.driver.list_failed();
+                }
             }
         }
     }
 
-    async fn call(
+    fn no_calls(&self) -> Calls<S> {
+        Calls::new(self.address.clone(), self.driver.metrics().clone())
+    }
+
+    /// Makes a call, and closes others if there would be too many.
+    fn start(
         &self,
+        calls: &mut Calls<S>,
         kept: Option<S::Connection>,
-        path: String,
-        call_timeout: Duration,
-    ) -> Result<ListAnswer<S::Connection>, PollError> {
-        self.driver.metrics().count(Count::ListCall);
-        let answer = self.address.clone().call(kept, path, call_timeout).await;
-        if answer.is_err() {
-            self.driver.metrics().count(Count::ListFailed);
+        from: Option<i64>,
+        hold: Duration,
+    ) -> CallId {
+        let closed = self.freshness.borrow_mut().patience().calls_to_close(Instant::now(), &calls.states());
+        calls.close_indices(&closed);
+        calls.start(kept, path(from, hold), from.is_none())
+    }
+
+    /// Waits for the answer of a long poll, or of an earlier call that tells something new, until the long poll
+    /// has been overtaken.
+    async fn long_poll(
+        &self,
+        calls: &mut Calls<S>,
+        id: CallId,
+        begin_by: Instant,
+    ) -> Result<EndedCall<S::Connection>, PollError> {
+        let answer_began = calls.answer_began();
+        loop {
+            let Some(state) = calls.state(id) else { return Err(PollError::Failed) };
+            let overtaken_at = self.freshness.borrow_mut().patience().overtaken_at(state, begin_by);
+            tokio::select! {
+                biased;
+                ended = calls.next_ended() => match &ended.result {
+                    Err(error) if ended.id == id => return Err(*error),
+                    Ok((list, _)) if ended.id == id || self.is_news(list) => return Ok(ended),
+                    _ => {}
+                },
+                () = answer_began.notified() => {}
+                () = sleep_until(overtaken_at) => return Err(PollError::TimedOut),
+            }
         }
-        answer
     }
 
-    /// Returns the first answer of several overlapping calls, a new one each `interval` until one is
-    /// answered. Each has its own connection, since the previous one may be silent.
+    /// Returns the first answer of several overlapping calls, a new one each interval until one is answered.
+    /// Each has its own connection, since the previous one may be silent.
     async fn poll_until_answered(
         &self,
-        path: String,
-        interval: Duration,
-        call_timeout: Duration,
-        max_calls: Option<u32>,
-    ) -> Result<ListAnswer<S::Connection>, PollError> {
-        let mut calls = JoinSet::new();
-        let mut calls_made = 0;
+        calls: &mut Calls<S>,
+        next: NextCall,
+    ) -> Result<EndedCall<S::Connection>, PollError> {
+        let NextCall::Immediate { from, interval, call_timeout, max_calls } = next else {
+            return Err(PollError::Failed);
+        };
+        let mut series = Vec::new();
+        let is_last = |made: usize| max_calls.is_some_and(|max_calls| made >= max_calls as usize);
+        let mut due = Instant::now();
         loop {
-            let may_call = max_calls.is_none_or(|max_calls| calls_made < max_calls);
-            if may_call {
-                self.driver.metrics().count(Count::ListCall);
-                calls.spawn_local(self.address.clone().call(None, path.clone(), call_timeout));
-                calls_made += 1;
+            let now = Instant::now();
+            let arriving_until = self.freshness.borrow_mut().patience().arriving_until(now, &calls.states());
+            if now >= due && arriving_until.is_none() {
+                if is_last(series.len()) {
+                    return Err(PollError::TimedOut);
+                }
+                series.push(self.start(calls, None, from, Duration::ZERO));
+                let factor = self.freshness.borrow_mut().patience().interval_factor(calls.count());
+                due = now + if is_last(series.len()) { call_timeout } else { interval * factor };
             }
-            let pause = sleep(if may_call { interval } else { call_timeout });
-            tokio::pin!(pause);
-            loop {
-                let ended = tokio::select! {
-                    () = pause.as_mut() => break,
-                    Some(ended) = calls.join_next() => ended.unwrap_or(Err(PollError::Failed)),
-                };
-                match ended {
-                    Ok(listed) => return Ok(listed),
+            let wait_until = arriving_until.map_or(due, |until| until.max(due));
+            tokio::select! {
+                biased;
+                ended = calls.next_ended() => match &ended.result {
+                    Ok((list, _)) if !ended.is_overtaken || self.is_news(list) => return Ok(ended),
+                    Ok(_) => {}
                     Err(error) => {
-                        self.driver.metrics().count(Count::ListFailed);
-                        if calls.is_empty() && max_calls.is_some_and(|max_calls| calls_made >= max_calls) {
-                            return Err(error);
+                        let is_over = is_last(series.len()) && !series.iter().any(|id| calls.is_in_flight(*id));
+                        if is_over && series.contains(&ended.id) {
+                            return Err(*error);
                         }
                     }
-                }
+                },
+                () = sleep_until(wait_until) => {}
             }
         }
     }
 
-    /// Applies a list; returns the pause before the next call.
-    fn apply_list(&self, list: ListReply, sent_at: Instant) -> Duration {
+    /// Whether a list is newer than the one that was accepted last.
+    fn is_news(&self, list: &ListReply) -> bool {
+        self.freshness.borrow().version().is_none_or(|known| list.rev > known)
+    }
+
+    /// Takes the answer of a call that is not waited for. One that tells nothing new confirms nothing: it may be
+    /// as old as its call.
+    fn take_late_answer(
+        &self,
+        calls: &mut Calls<S>,
+        ended: EndedCall<S::Connection>,
+    ) -> Result<(), PollError> {
+        match &ended.result {
+            Ok((list, _)) if !ended.is_overtaken || self.is_news(list) => {
+                self.take_answer(calls, ended);
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            Err(error) => Err(*error),
+        }
+    }
+
+    /// Applies the list of an answer; returns its connection, and the pause before the next call.
+    fn take_answer(
+        &self,
+        calls: &mut Calls<S>,
+        ended: EndedCall<S::Connection>,
+    ) -> (Option<S::Connection>, Duration) {
+        let EndedCall { asks_all, sent_at, longest_pause, result: Ok((list, kept)), .. } = ended else {
+            return (None, Duration::ZERO);
+        };
+        let list = ListReply { all: list.all || asks_all, ..list };
+        let is_news = self.is_news(&list);
+        let (acceptance, pause) = self.apply_list(list, sent_at, longest_pause);
+        let counts_anew = self.freshness.borrow().version().is_none();
+        if counts_anew || (is_news && acceptance == Acceptance::Accept) {
+            // What the other calls have to tell is known, or means nothing any more.
+            calls.close_all();
+        } else if acceptance == Acceptance::Accept {
+            calls.overtake();
+        }
+        (kept, pause)
+    }
+
+    /// Applies a list; returns whether it was accepted, and the pause before the next call.
+    fn apply_list(
+        &self,
+        list: ListReply,
+        sent_at: Instant,
+        longest_pause: Duration,
+    ) -> (Acceptance, Duration) {
         let (now, known) = (Instant::now(), self.freshness.borrow().version());
         let (acceptance, pause) = self.freshness.borrow_mut().on_answer(now, list.rev, now - sent_at);
         match acceptance {
             Acceptance::Accept => {
+                self.freshness.borrow_mut().patience().on_accepted(longest_pause);
                 if self.failure_logged.replace(false) {
                     log(&format!("discovery at {}: lists are received again", self.address));
                 }
@@ -321,7 +332,7 @@
                 ));
             }
         }
-        pause
+        (acceptance, pause)
     }
 
     fn on_failure(&self, error: PollError) -> FollowUp {
--- a/agent/src/sources/platform/tests.rs
+++ b/agent/src/sources/platform/tests.rs
@@ -1,6 +1,7 @@
 //! The poller against a simulated source in virtual time that fails in every way, over random histories: each
 //! change must be known within 6 s from the moment when it existed and the source could be reached.
 
+use super::connection::{CallProgress, ListAnswer};
 use super::*;
 use crate::list::Entries;
 use crate::memory_budget::MemoryBudget;
@@ -9,7 +10,9 @@
 use ryelead::{Settings, Span};
 use std::fmt;
 use std::future::pending;
+use std::net::SocketAddr;
 use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 /// How the source behaves for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +27,30 @@
     Silent,
 }
 
+/// How slowly the source writes each answer once it knows what to tell.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    before_head: Duration,
+    pieces: u32,
+    before_piece: Duration,
+}
+
+impl Pace {
+    fn answer_time(self) -> Duration {
+        self.before_head + self.before_piece * self.pieces
+    }
+
+    /// Writes an answer.
+    async fn write(self, progress: &CallProgress) {
+        sleep(self.before_head).await;
+        progress.on_head();
+        for _ in 0..self.pieces {
+            sleep(self.before_piece).await;
+            progress.on_data();
+        }
+    }
+}
+
 /// The history of the source.
 struct History {
     start: Instant,
@@ -37,6 +64,7 @@
     /// When a long poll fell silent, and when its hold was to end.
     silenced: RefCell<Vec<(Duration, Duration)>>,
     calls: Cell<usize>,
+    pace: Pace,
 }
 
 impl History {
@@ -62,7 +90,7 @@
         }
     }
 
-    async fn answer(&self, path: &str) -> Result<ListReply, PollError> {
+    async fn answer(&self, path: &str, progress: &CallProgress) -> Result<ListReply, PollError> {
         let parameter = |name: &str| -> Option<u64> {
             path.split(['?', '&']).find_map(|part| part.strip_prefix(name))?.parse().ok()
         };
@@ -74,6 +102,7 @@
             match self.mode(self.now()) {
                 Mode::Up if self.version(self.now()) > from || self.now() >= until => {
                     let rev = self.version(self.now());
+                    self.pace.write(progress).await;
                     self.answers.borrow_mut().push((self.now(), rev));
                     return Ok(ListReply { rev, all: false, targets: Entries::default() });
                 }
@@ -119,6 +148,19 @@
             .map(|(from, until)| (*from + Duration::from_secs(6)).max(*until + Duration::from_secs(2)));
         silent.fold(due, Duration::max)
     }
+
+    /// Like [`History::due`], but 6 s count from the moment from which the source could be reached throughout.
+    fn due_while_reachable(&self, version: i64) -> Duration {
+        let allowance = Duration::from_secs(6);
+        let mut due = self.due(version);
+        for (i, (from, mode)) in self.modes.iter().enumerate() {
+            let end = self.modes.get(i + 1).map_or(Duration::MAX, |(end, _)| *end);
+            if *mode != Mode::Up && *from < due && end + allowance > due {
+                due = end + allowance;
+            }
+        }
+        due
+    }
 }
 
 #[derive(Clone)]
@@ -137,13 +179,10 @@
         self,
         _: Option<()>,
         path: String,
-        call_timeout: Duration,
+        progress: Rc<CallProgress>,
     ) -> Result<ListAnswer<()>, PollError> {
         self.0.calls.set(self.0.calls.get() + 1);
-        timeout(call_timeout, self.0.answer(&path))
-            .await
-            .map_err(|_| PollError::TimedOut)?
-            .map(|list| (list, None))
+        self.0.answer(&path, &progress).await.map(|list| (list, None))
     }
 }
 
@@ -157,13 +196,17 @@
     }
 }
 
-/// Simulates a history to its end. Returns for each version when it was first known and when it was due, and
-/// the number of calls.
-async fn simulate(
-    seed: u64,
-    discovery: ryelead::Discovery,
-    modes: &[Mode],
-) -> (Vec<(Duration, Duration)>, usize) {
+/// What came of a history.
+struct Simulated {
+    /// When each version was first known, and when it was due by [`History::due`] and
+    /// [`History::due_while_reachable`].
+    versions: Vec<(Duration, Duration, Duration)>,
+    calls: usize,
+    lasted: Duration,
+}
+
+/// Simulates a history to its end.
+async fn simulate(seed: u64, discovery: ryelead::Discovery, modes: &[Mode], pace: Pace) -> Simulated {
     let mut random = fastrand::Rng::with_seed(seed);
     let settings = settings(&mut random, discovery);
     let policy = PollPolicy::from_settings(&settings);
@@ -184,7 +227,8 @@
     let end = Duration::from_millis(at) + Duration::from_secs(60);
     let (random, answers, silenced) = (RefCell::new(random), RefCell::default(), RefCell::default());
     let (start, calls) = (Instant::now(), Cell::new(0));
-    let history = Rc::new(History { start, modes: timeline, changes, random, answers, silenced, calls });
+    let history =
+        Rc::new(History { start, modes: timeline, changes, random, answers, silenced, calls, pace });
     let second = Duration::from_secs(1);
     let backends = Backends::new(Pool::new(4, second, second), MemoryBudget::new(1 << 20), Vec::new(), false);
     let commands = DiscoveryCommands::new(SocketAddr::from(([127, 0, 0, 1], 1)));
@@ -211,7 +255,10 @@
         answers.iter().find(|(_, rev)| *rev >= version).map_or(Duration::MAX, |(at, _)| *at)
     };
     let versions = 2..2 + history.changes.len() as i64;
-    (versions.map(|version| (known(version), history.due(version))).collect(), history.calls.get())
+    let versions = versions
+        .map(|version| (known(version), history.due(version), history.due_while_reachable(version)))
+        .collect();
+    Simulated { versions, calls: history.calls.get(), lasted: end }
 }
 
 fn run<T>(work: impl std::future::Future<Output = T>) -> T {
@@ -226,10 +273,69 @@
     for discovery in [OnRequest, Pushed] {
         for seed in 0..150 {
             let modes = [Mode::Refusing, Mode::Overbooked, Mode::Silent, Mode::Up];
-            let (versions, _) = run(simulate(seed, discovery, &modes));
-            for (known, due) in versions {
+            let simulated = run(simulate(seed, discovery, &modes, Pace::default()));
+            for (known, due, _) in simulated.versions {
                 assert!(known <= due, "{discovery:?}, seed {seed}: known at {known:?}, due at {due:?}");
             }
         }
     }
 }
+
+/// A pace of the source whose answers take up to `longest_ms`, in one of the shapes of a slow peer.
+fn draw_pace(random: &mut fastrand::Rng, longest_ms: u64) -> Pace {
+    let ms = random.u64(1..=longest_ms);
+    let (head_ms, pieces) = match random.u8(0..4) {
+        0 => (0, 1),
+        1 => (ms, 1),
+        2 => (0, random.u32(2..400)),
+        _ => (random.u64(0..=ms), random.u32(1..20)),
+    };
+    let before_piece = Duration::from_millis(ms - head_ms) / pieces;
+    Pace { before_head: Duration::from_millis(head_ms), pieces, before_piece }
+}
+
+/// Review case 6: a discovery that was slow within each answer was never heard, since each call began anew.
+#[test]
+fn a_slow_discovery_is_heard_at_any_pace() {
+    use ryelead::Discovery::{OnRequest, Pushed};
+    for discovery in [OnRequest, Pushed] {
+        for seed in 0..150 {
+            // Within the first bound two answers and their latency take less than 6 s.
+            let longest_ms = if seed % 2 == 0 { 2300 } else { 25_000 };
+            let pace = draw_pace(&mut fastrand::Rng::with_seed(seed), longest_ms);
+            let simulated = run(simulate(seed, discovery, &[Mode::Up], pace));
+            let allowed = if seed % 2 == 0 { Duration::ZERO } else { pace.answer_time() * 2 };
+            for (known, due, _) in simulated.versions {
+                let due = due + allowed;
+                assert!(
+                    known <= due,
+                    "{discovery:?}, seed {seed}, {pace:?}: known at {known:?}, due at {due:?}"
+                );
+            }
+            // A service that all agents share takes a call from each of them once in 2 s.
+            let quick = run(simulate(seed, discovery, &[Mode::Up], Pace::default())).calls;
+            let (calls, calls_max) = (simulated.calls, quick + simulated.lasted.as_secs() as usize / 2);
+            assert!(discovery == Pushed || calls <= calls_max, "seed {seed}, {pace:?}: {calls}, {quick}");
+        }
+    }
+}
+
+/// A dead connection hides no slow one, and calls to a slow discovery hide no silence.
+#[test]
+fn a_slow_discovery_is_heard_beside_dead_calls() {
+    use ryelead::Discovery::{OnRequest, Pushed};
+    for discovery in [OnRequest, Pushed] {
+        for seed in 0..150 {
+            let pace = draw_pace(&mut fastrand::Rng::with_seed(seed), 4000);
+            let modes = [Mode::Refusing, Mode::Silent, Mode::Up];
+            let simulated = run(simulate(seed, discovery, &modes, pace));
+            for (known, _, due) in simulated.versions {
+                let due = due + pace.answer_time() * 2;
+                assert!(
+                    known <= due,
+                    "{discovery:?}, seed {seed}, {pace:?}: known at {known:?}, due at {due:?}"
+                );
+            }
+        }
+    }
+}
--- a/lab/src/standins/discovery.rs
+++ b/lab/src/standins/discovery.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -146,6 +147,17 @@
     Stale,
 }
 
+/// How slowly answers are written, whole and sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Pace {
+    /// Before the first byte.
+    pub before_head: Duration,
+    /// The body is written in pieces of so many bytes; all at once if 0.
+    pub piece_bytes: usize,
+    /// Before each piece.
+    pub before_piece: Duration,
+}
+
 struct Health {
     ailment: Ailment,
     stale: Option<List>,
@@ -153,6 +165,7 @@
     /// What is wrong with the next answers, one each.
     spoils: VecDeque<Spoil>,
     delay: Duration,
+    pace: Pace,
 }
 
 struct Inner {
@@ -188,8 +201,8 @@
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
         let (remembered, spoils) = Default::default();
-        let health =
-            Health { ailment: Ailment::None, stale: None, remembered, spoils, delay: Duration::ZERO };
+        let (delay, pace) = Default::default();
+        let health = Health { ailment: Ailment::None, stale: None, remembered, spoils, delay, pace };
         let nothing = tokio::spawn(async {}).abort_handle();
         let view = View(Arc::new(Inner {
             agent,
@@ -257,6 +270,11 @@
         locked(&self.0.health).delay = delay;
     }
 
+    /// Writes answers at this pace from now on.
+    pub fn pace(&self, pace: Pace) {
+        locked(&self.0.health).pace = pace;
+    }
+
     /// Listens elsewhere; the old address is closed with all its calls. The agent learns of it by its configuration.
     pub async fn move_away(&self) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -299,13 +317,13 @@
                 answer = self.answer(&path) => answer,
             };
             let Some((text, told)) = answer else { return };
-            let delay = locked(&self.0.health).delay;
+            let Health { delay, pace, .. } = *locked(&self.0.health);
             if !delay.is_zero() {
                 sleep(delay).await;
             }
             let (text, told, end) = self.spoilt(text, told);
             // From the write on the agent can act on it, and no earlier.
-            if output.write_all(text.as_bytes()).await.is_err() {
+            if write_at_pace(&mut output, &text, pace).await.is_err() {
                 return;
             }
             self.0.sent.fetch_add(text.len() as u64, Ordering::Relaxed);
@@ -404,6 +422,23 @@
     }
 }
 
+/// Writes an answer piece by piece. It can be acted on once all of it is written.
+async fn write_at_pace(output: &mut OwnedWriteHalf, text: &str, pace: Pace) -> std::io::Result<()> {
+    let head_bytes = text.find("\r\n\r\n").map_or(0, |end| end + 4);
+    let (head, body) = text.as_bytes().split_at(head_bytes);
+    if pace == Pace::default() {
+        return output.write_all(text.as_bytes()).await;
+    }
+    sleep(pace.before_head).await;
+    output.write_all(head).await?;
+    let piece_bytes = if pace.piece_bytes == 0 { body.len().max(1) } else { pace.piece_bytes };
+    for piece in body.chunks(piece_bytes) {
+        sleep(pace.before_piece).await;
+        output.write_all(piece).await?;
+    }
+    Ok(())
+}
+
 fn locked<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/lab/src/standins/hand.rs
+++ b/lab/src/standins/hand.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::judge::evidence::Book;
 use crate::standins::booking::{Act, Booking, Figures, Repeats, Seen, Setup};
-pub use crate::standins::discovery::{Ailment, Spoil};
+pub use crate::standins::discovery::{Ailment, Pace, Spoil};
 use crate::standins::discovery::{Registry, View};
 use crate::standins::http::{answer, Message};
 use crate::standins::kernel_sockets::wait_for_sockets;
@@ -306,6 +306,11 @@
         self.view.spoil(ways);
     }
 
+    /// Writes answers at this pace from now on.
+    pub fn pace(&self, pace: Pace) {
+        self.view.pace(pace);
+    }
+
     /// Answers that are [`Spoil::Older`] tell the list as it stands now.
     pub fn remember(&self) {
         self.view.remember();
