A silent answer is not closed before the longest cut is over, unless others need it

What ends silence is need: without a free descriptor, connection or memory the exchange that has been silent for longest goes, after 5 s at the earliest, with the reason silent-and-needed (log, counter silent-ended). A drain or a shutdown still ends clients that read nothing after 5 s.

--- a/agent/src/agent.rs
+++ b/agent/src/agent.rs
@@ -82,6 +82,10 @@
         // During an upgrade two processes serve as one agent.
         let share = inherited.then(|| ConnectionShare::new(&std::env::temp_dir(), address, totals));
         let others_bytes = Rc::<Cell<u64>>::default();
+        for shortage in [core.bodies.shortage(), driver.pool().shortage()] {
+            let server = Rc::downgrade(&server);
+            shortage.set(move || server.upgrade().into_iter().for_each(|server| server.end_longest_silent()));
+        }
         let monitor = Rc::new(MemoryMonitor {
             server: Rc::clone(&server),
             driver: driver.clone(),
--- a/agent/src/frontend/http/connection_slot.rs
+++ b/agent/src/frontend/http/connection_slot.rs
@@ -3,6 +3,7 @@
 use crate::events;
 use crate::metered_stream::ConnectionView;
 use crate::permits::closing::{close, CloseManner, ClosePermit, CloseReason, ConnectionFacts};
+use crate::permits::silence::{silence_max, Need};
 use ryelead::AnswerCloseReason;
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -17,9 +18,6 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2600);
 /// Maximum idle time of a connection that has carried a request.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// A connection is closed when its client reads nothing of its answer for this long. A client that reads 64
-/// kB a second frees buffer space in steps of up to 2 s, because of the buffers of the two sockets.
-const READER_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// An answer moves if the kernel has taken some of it within this time. A client that reads 64 kB a second
 /// lets it take some every 2 s at least.
 const ANSWER_PROGRESS_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -191,12 +189,16 @@
         self.number
     }
 
-    /// Whether its client has read nothing of its answer for longer than allowed.
-    pub fn is_reader_stalled(&self) -> bool {
-        let now = Instant::now();
-        self.view
-            .write_stalled_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > READER_STALL_TIMEOUT)
+    /// Since when its client has read nothing of its answer, if that is longer than `silence_max`.
+    pub fn reader_silent_since(&self, now: Instant, silence_max: Duration) -> Option<Instant> {
+        let since = self.view.write_stalled_since()?;
+        (now.saturating_duration_since(since) > silence_max).then_some(since)
+    }
+
+    /// Whether it is being closed because its client reads nothing of its answer.
+    pub fn is_ended_by_silence(&self) -> bool {
+        let reason = self.requested_close.get().map(|close| close.reason);
+        matches!(reason, Some(CloseReason::StuckReader | CloseReason::SilentAndNeeded))
     }
 
     /// Whether its client has not closed it.
@@ -210,11 +212,13 @@
         matches!(self.phase.get(), Phase::Answering | Phase::Streaming) || self.view.is_flush_pending()
     }
 
-    /// Whether an answer has begun and its client goes on reading it.
+    /// Whether an answer has begun and its client goes on reading it, or has read all that its server has sent.
     pub fn answer_moves(&self, now: Instant) -> bool {
-        let is_written = self.phase.get() == Phase::Streaming || self.view.is_flush_pending();
-        let last_write = self.view.last_write().filter(|_| is_written);
-        last_write.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_PROGRESS_TIMEOUT)
+        let is_streaming = self.phase.get() == Phase::Streaming;
+        let last_write = self.view.last_write().filter(|_| is_streaming || self.view.is_flush_pending());
+        let is_read =
+            last_write.is_some_and(|at| now.saturating_duration_since(at) < ANSWER_PROGRESS_TIMEOUT);
+        is_read || (is_streaming && self.view.write_stalled_since().is_none() && self.client_is_connected())
     }
 
     /// Since when it is in its phase; a phase that follows an answer begins when the kernel has all of it.
@@ -256,6 +260,7 @@
             Some(CloseReason::StuckReader) => Some(AnswerCloseReason::ClientGone),
             Some(CloseReason::Leaving) => Some(AnswerCloseReason::ProcessEnds),
             Some(CloseReason::Overload) => Some(AnswerCloseReason::Overload),
+            Some(CloseReason::SilentAndNeeded) => Some(AnswerCloseReason::SilentAndNeeded),
             _ => (!self.client_is_connected()).then_some(AnswerCloseReason::ClientGone),
         }
     }
@@ -272,8 +277,8 @@
         manner
     }
 
-    /// The close that is due now because a timeout has passed.
-    pub(super) fn due_close(&self, now: Instant) -> Option<(CloseManner, CloseReason)> {
+    /// The close that is due now because a timeout has passed. `need` tells whether its slot is needed for others.
+    pub(super) fn due_close(&self, now: Instant, need: Need) -> Option<(CloseManner, CloseReason)> {
         let received = self.view.received();
         if self.phase.get() == Phase::AwaitingRequest && received > self.received_at_answer.get() {
             self.phase.set(Phase::ReadingHead);
@@ -281,7 +286,9 @@
         }
         let age = now.saturating_duration_since(self.phase_since());
         match self.phase.get() {
-            _ if self.is_reader_stalled() => Some((CloseManner::Immediate, CloseReason::StuckReader)),
+            _ if self.reader_silent_since(now, silence_max(need)).is_some() => {
+                Some((CloseManner::Immediate, CloseReason::StuckReader))
+            }
             Phase::AwaitingRequest | Phase::Closing if self.owes_answer() => None,
             Phase::AwaitingRequest if self.used.get() => {
                 (age > IDLE_TIMEOUT).then_some((CloseManner::Graceful, CloseReason::Idle))
--- a/agent/src/frontend/http/server.rs
+++ b/agent/src/frontend/http/server.rs
@@ -18,6 +18,7 @@
 use crate::permits::admission::admit;
 use crate::permits::closing::CloseManner;
 use crate::permits::lifecycle::{ExitPermit, IdlePolicy, OpenConnections};
+use crate::permits::silence::Need;
 use crate::permits::violations::Violation;
 use crate::requests::Answer;
 use hyper::body::Incoming;
@@ -141,7 +142,7 @@
             // needed.
             while self.open.count() >= self.open_max.get() {
                 blocked_since.get_or_insert_with(Instant::now);
-                self.slots.evict_one();
+                self.free_connection();
                 let _ = timeout(ACCEPT_PAUSE, self.slots.slot_freed()).await;
             }
             let accepted = tokio::select! {
@@ -168,7 +169,7 @@
                     blocked_since.get_or_insert_with(Instant::now);
                     log(&format!("cannot accept: {e}"));
                     if is_resource_shortage(&e) {
-                        self.slots.evict_one();
+                        self.free_connection();
                     }
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -182,7 +183,9 @@
             // Without clients, a timer would only wake the process for nothing.
             self.slots.non_empty().await;
             sleep(SWEEP_INTERVAL).await;
-            self.slots.sweep(self.idle_eviction_limits.get().0);
+            // A drain or a shutdown ends the connections of clients that read nothing.
+            let need = if self.clients.closes_connections() { Need::Others } else { Need::None };
+            self.slots.sweep(self.idle_eviction_limits.get().0, need);
             self.close_idle_connections();
         }
     }
@@ -249,7 +252,28 @@
 
     /// Evicts up to `number` connections on which no request is complete.
     pub fn evict(&self, number: usize) {
-        (0..number).for_each(|_| self.slots.evict_one());
+        (0..number).for_each(|_| self.free_connection());
+    }
+
+    /// Evicts a connection, or else ends the exchange whose peer has been silent for longest.
+    fn free_connection(&self) {
+        if !self.slots.evict_one() {
+            self.end_longest_silent();
+        }
+    }
+
+    /// Ends the exchange whose client or server has been silent for longest, because what it holds is needed for
+    /// others; nothing if no silence is long enough.
+    pub fn end_longest_silent(&self) {
+        let peers = self.driver.pool().silent_peers();
+        let is_client = match (self.slots.longest_silent_since(), peers.longest_silent_since()) {
+            (Some(client), Some(server)) => client <= server,
+            (client, _) => client.is_some(),
+        };
+        let is_ended = if is_client { self.slots.close_longest_silent() } else { peers.give_up_longest() };
+        if is_ended {
+            self.driver.metrics().count(Count::SilentEnded);
+        }
     }
 
     /// Ends up to `number` connections that hold the most memory.
@@ -278,7 +302,7 @@
     /// Records a violation if the agent closed a connection that owed an answer, while its client was still
     /// connected and reading.
     fn check_close(&self, slot: &ConnectionSlot) {
-        let is_allowed = slot.is_reader_stalled() || slot.is_ended_by_overload();
+        let is_allowed = slot.is_ended_by_silence() || slot.is_ended_by_overload();
         if slot.owes_answer() && !is_allowed && slot.client_is_connected() {
             self.driver.violations().record(Violation::ClosedOwing, &format!("connection {}", slot.number()));
         }
--- a/agent/src/frontend/http/slots.rs
+++ b/agent/src/frontend/http/slots.rs
@@ -4,6 +4,7 @@
 use super::connection_slot::ConnectionSlot;
 use crate::metered_stream::ConnectionView;
 use crate::permits::closing::{CloseManner, CloseReason};
+use crate::permits::silence::{Need, NEEDED_SILENCE_MIN};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -65,28 +66,47 @@
         self.slot_freed.notified().await;
     }
 
-    /// Closes the connection that is lowest in the order of eviction.
-    pub fn evict_one(&self) {
+    /// Closes the connection that is lowest in the order of eviction; false if none may be evicted.
+    pub fn evict_one(&self) -> bool {
         let (now, slots) = (Instant::now(), self.slots.borrow());
         loop {
             let ranked = slots.values().filter_map(|slot| Some((slot.eviction_rank(now)?, slot)));
-            let Some(((rank, _), slot)) = ranked.min_by_key(|(rank, _)| *rank) else { return };
+            let Some(((rank, _), slot)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
             if rank == 0 && slot.notice_unread() {
                 continue;
             }
             // The client of a connection that has been used may just be sending a request on it.
             let wanted = if rank == 2 { CloseManner::Graceful } else { CloseManner::Immediate };
             slot.close(wanted, CloseReason::Evicted);
-            return;
+            return true;
         }
     }
 
+    /// Since when the client has read nothing of its answer that has done so for longest, if its connection may be
+    /// closed for others.
+    pub fn longest_silent_since(&self) -> Option<Instant> {
+        self.longest_silent().map(|(since, _)| since)
+    }
+
+    /// Closes the connection whose client has read nothing of its answer for longest; false if none may be.
+    pub fn close_longest_silent(&self) -> bool {
+        let longest = self.longest_silent();
+        longest.map(|(_, slot)| slot.close(CloseManner::Immediate, CloseReason::SilentAndNeeded)).is_some()
+    }
+
+    fn longest_silent(&self) -> Option<(Instant, Rc<ConnectionSlot>)> {
+        let (now, slots) = (Instant::now(), self.slots.borrow());
+        let open = slots.values().filter(|slot| slot.close_manner() != Some(CloseManner::Immediate));
+        let silent = open.filter_map(|slot| Some((slot.reader_silent_since(now, NEEDED_SILENCE_MIN)?, slot)));
+        silent.min_by_key(|(since, _)| *since).map(|(since, slot)| (since, Rc::clone(slot)))
+    }
+
     /// Closes connections whose timeout has passed. If more than `max_open` are open, also closes idle ones,
-    /// starting with those that carried one request only.
-    pub fn sweep(&self, max_open: usize) {
+    /// starting with those that carried one request only. `need` tells whether slots are needed for others.
+    pub fn sweep(&self, max_open: usize, need: Need) {
         let (now, slots) = (Instant::now(), self.slots.borrow());
         for slot in slots.values() {
-            if let Some((manner, reason)) = slot.due_close(now) {
+            if let Some((manner, reason)) = slot.due_close(now, need) {
                 slot.close(manner, reason);
             }
         }
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -50,6 +50,7 @@
 mod requests;
 mod servers;
 mod sharing;
+mod shortage;
 mod signals;
 mod sources;
 mod timers;
--- a/agent/src/memory_budget.rs
+++ b/agent/src/memory_budget.rs
@@ -1,5 +1,6 @@
 //! Limits the memory that the bodies of all requests and answers hold at once.
 
+use crate::shortage::ShortageHandler;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -10,6 +11,7 @@
     held: Cell<usize>,
     freed: Notify,
     spare_allowed: Cell<bool>,
+    shortage: ShortageHandler,
 }
 
 impl MemoryBudget {
@@ -20,6 +22,7 @@
             held: Cell::new(0),
             freed: Notify::new(),
             spare_allowed: Cell::new(true),
+            shortage: ShortageHandler::default(),
         })
     }
 
@@ -28,6 +31,11 @@
         self.held.get()
     }
 
+    /// What frees memory when a reservation fails.
+    pub fn shortage(&self) -> &ShortageHandler {
+        &self.shortage
+    }
+
     /// Changes the limit to `bytes`. Reservations beyond it stay until they are dropped, and none are made
     /// meanwhile.
     pub fn set_limit(&self, bytes: usize) {
@@ -42,7 +50,10 @@
 
     /// Reserves `bytes` until the reservation is dropped; `None` if so many are not free.
     pub fn take(self: &Rc<Self>, bytes: usize) -> Option<MemoryReservation> {
-        let held = self.held.get().checked_add(bytes).filter(|held| *held <= self.limit.get())?;
+        let Some(held) = self.held.get().checked_add(bytes).filter(|held| *held <= self.limit.get()) else {
+            self.shortage.call();
+            return None;
+        };
         self.held.set(held);
         Some(MemoryReservation { budget: Rc::clone(self), bytes })
     }
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -45,6 +45,8 @@
     AnswerClosed(AnswerCloseReason),
     /// Times that a level of memory overload was entered.
     Overload(OverloadLevel),
+    /// Exchanges that were ended because their client or server was silent and others needed what they held.
+    SilentEnded,
     /// Requests of clients that were rejected before they were admitted.
     Rejected,
     /// Failed probes.
@@ -100,6 +102,7 @@
             Count::Overload(level) => level.name(),
             Count::AnswerClosed(reason) => reason.name(),
             Count::AnswerStalled => "answers-silent",
+            Count::SilentEnded => "silent-ended",
             Count::Rejected => "requests-rejected",
             Count::ProbeFailed => "probes-failed",
             Count::GivenUp(reason) => reason.name(),
--- a/agent/src/permits/closing.rs
+++ b/agent/src/permits/closing.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// The process holds too much memory.
     Overload,
+    /// The client reads nothing of its answer, and what that holds is needed for others.
+    SilentAndNeeded,
 }
 
 impl CloseReason {
@@ -37,6 +39,7 @@
             CloseReason::Crowded => "crowded",
             CloseReason::Leaving => "leaving",
             CloseReason::Overload => "overload",
+            CloseReason::SilentAndNeeded => "silent-and-needed",
         }
     }
 }
@@ -83,7 +86,7 @@
 pub fn close(facts: ConnectionFacts, wanted: CloseManner, reason: CloseReason) -> ClosePermit {
     let is_free = match reason {
         // An answer may be pending, but the client does not read it.
-        CloseReason::StuckReader => true,
+        CloseReason::StuckReader | CloseReason::SilentAndNeeded => true,
         // A process that is killed for its memory answers nobody.
         CloseReason::Overload => true,
         // The client has been told that its connection closes, so no request is among unread bytes.
--- a/agent/src/permits/mod.rs
+++ b/agent/src/permits/mod.rs
@@ -14,6 +14,7 @@
 pub mod lifecycle;
 pub mod overload;
 pub mod process_end;
+pub mod silence;
 pub mod violations;
 
 pub use process_end::ProcessEnd;
--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -8,11 +8,13 @@
 use super::live_answer::{CloseRecorder, LiveAnswer};
 use super::load_report::LoadReports;
 use super::pool::{Lease, Pool, ServerEndpoint};
+use super::silent_peers::SilentPeer;
 use super::streaming::{StreamEnd, StreamedAnswer};
 use super::upload::RequestBody;
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::metered_stream::ConnectionView;
 use crate::permits::attempt::AttemptPermit;
+use crate::permits::silence::SILENCE_MAX;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -28,7 +30,7 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Maximum number of bytes read for a buffered answer: a body in small chunks, its head, and any 1xx answers
 /// before it.
@@ -36,9 +38,7 @@
 /// Maximum number of bytes read for a streamed answer: a body in chunks of a few bytes takes several times
 /// its length.
 const STREAMED_READ_MAX: u64 = 8 * BODY_MAX;
-/// A streamed request fails when the server reads nothing of it for this long, or for the client's budget if
-/// that is longer; `WRITE_STALL_CHECK_INTERVAL` is the interval of the check.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval of the check whether a server has read nothing of a streamed request for too long.
 const WRITE_STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A streamed answer waits no longer for memory: the platform counts an answer as lost that is held back for
 /// 2 s.
@@ -155,9 +155,10 @@
                     let reservations = (reservation, self.streaming_memory(call, until).await);
                     progress.set(Stage::Streaming);
                     let began = Some(Instant::now());
+                    let peer = self.pool.silent_peers().register();
                     view.limit_reads(STREAMED_READ_MAX);
                     let (streaming, stream_end) =
-                        StreamedAnswer::new(first, rest, lease, (end, live), until, reservations);
+                        StreamedAnswer::new(first, rest, lease, (end, live), peer, until, reservations);
                     let body = ServedBody::Stream(Box::new(streaming));
                     let outcome = if !owner.start_answer(Served { body, content_type }) {
                         Outcome::Cancelled
@@ -214,6 +215,7 @@
         });
         let received = view.received();
         let upload_budget = call.upload.as_ref().map(|upload| upload.budget());
+        let peer = self.pool.silent_peers().register();
         view.arm(permit, BUFFERED_READ_MAX);
         let arrival = AnswerArrival::new();
         let complete = async {
@@ -224,7 +226,7 @@
             biased;
             answer = complete => answer,
             never = arrival.watch(&view, received, &saw_informational, owner) => match never {},
-            () = write_stalled(&view, upload_budget.unwrap_or_default()), if upload_budget.is_some() => {
+            () = write_stalled(&view, &peer, upload_budget.unwrap_or_default()), if upload_budget.is_some() => {
                 // What has come of an answer does not belong to a request that the server has not read.
                 set_close_reason(owner.close_recorder(), AnswerCloseReason::Unsound);
                 Err(AnswerError::RequestNotRead)
@@ -485,12 +487,15 @@
     Ok(true)
 }
 
-/// Waits until a server has read nothing of a streamed request for `WRITE_STALL_TIMEOUT`, or for the client's
-/// `budget` if that is longer.
-async fn write_stalled(view: &ConnectionView, budget: Duration) {
-    let limit = WRITE_STALL_TIMEOUT.max(budget);
+/// Waits until a server has read nothing of a streamed request for longer than a silence may last, or until the
+/// attempt is given up for others. The client's `budget` passes in any case.
+async fn write_stalled(view: &ConnectionView, peer: &SilentPeer, budget: Duration) {
+    let limit = SILENCE_MAX.max(budget);
     while view.write_stalled_since().is_none_or(|since| since.elapsed() < limit) {
-        sleep(WRITE_STALL_CHECK_INTERVAL).await;
+        peer.set_silent_since(view.write_stalled_since().map(|since| since + budget));
+        if timeout(WRITE_STALL_CHECK_INTERVAL, peer.given_up()).await.is_ok() {
+            return;
+        }
     }
 }
 
--- a/agent/src/upstream/pool.rs
+++ b/agent/src/upstream/pool.rs
@@ -1,10 +1,12 @@
 //! Connections to servers: active, idle, or to be opened.
 
 use super::idle_limit::IdleLimit;
+use super::silent_peers::SilentPeers;
 use super::upload::RequestBody;
 use crate::answer_scanner::{HEADERS_MAX, HEAD_MAX};
 use crate::metered_stream::{ConnectionView, Gauge, MeteredStream};
 use crate::metrics::{Count, Metrics};
+use crate::shortage::ShortageHandler;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use ryelead::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
@@ -122,14 +124,17 @@
     connect_timeout: Duration,
     idle_limit: IdleLimit,
     metrics: Metrics,
+    silent_peers: SilentPeers,
+    shortage: ShortageHandler,
 }
 
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(open_max: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
         let idle_limit = IdleLimit::new(keepalive.mul_f64(IDLE_FRACTION));
-        let (idle, open, metrics) = Default::default();
-        Rc::new(Pool { idle, open, open_max: Cell::new(open_max), connect_timeout, idle_limit, metrics })
+        let (idle, open, metrics, silent_peers, shortage) = Default::default();
+        let open_max = Cell::new(open_max);
+        Rc::new(Pool { idle, open, open_max, connect_timeout, idle_limit, metrics, silent_peers, shortage })
     }
 
     /// The metrics of the connections.
@@ -137,6 +142,16 @@
         &self.metrics
     }
 
+    /// The exchanges that are under way.
+    pub fn silent_peers(&self) -> &SilentPeers {
+        &self.silent_peers
+    }
+
+    /// What frees a connection when all that may be opened are in use.
+    pub fn shortage(&self) -> &ShortageHandler {
+        &self.shortage
+    }
+
     /// Number of open connections, and number of idle ones among them.
     pub fn levels(&self) -> (usize, usize) {
         (self.open.count(), self.idle.borrow().values().map(Vec::len).sum())
@@ -174,6 +189,7 @@
             if self.open.count() < self.open_max.get() || self.close_least_recent() {
                 return self.connect(server_endpoint).await;
             }
+            self.shortage.call();
             if timeout_at(wait_until, self.open.available()).await.is_err() {
                 self.metrics.count(Count::PoolFull);
                 return Err(Outcome::NotSent);
--- a/agent/src/upstream/streaming.rs
+++ b/agent/src/upstream/streaming.rs
@@ -8,21 +8,19 @@
 use super::body::{AnswerError, BODY_MAX};
 use super::live_answer::LiveAnswer;
 use super::pool::Lease;
+use super::silent_peers::SilentPeer;
 use crate::memory_budget::MemoryReservation;
+use crate::permits::silence::SILENCE_MAX;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use ryelead::AnswerCloseReason;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, Instant, Sleep};
 
-/// A server that sends nothing of a streamed answer for this long beyond the time of its attempt, while the
-/// client waits, counts as failed.
-const STALL_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// How a streamed answer ended, for the task that sent the request.
 pub enum StreamEnd {
     /// It is complete; the connection can be used again.
@@ -38,11 +36,14 @@
     body: Incoming,
     /// Number of bytes that may still arrive.
     remaining: u64,
-    stall: Pin<Box<Sleep>>,
+    /// The end of the longest silence of the server while the client waits, from the end of the attempt's time on.
+    silence: Pin<Box<Sleep>>,
     /// The end of the attempt's time.
     until: Instant,
     /// The client has polled for more than has arrived.
     client_waits: bool,
+    /// Where others learn that the server is silent, and may give the answer up.
+    peer: Rc<SilentPeer>,
     /// `None` once the end has been reported. If it is dropped before that, the client has disconnected, and
     /// the connection to the server is closed.
     end: Option<(Lease, oneshot::Sender<StreamEnd>)>,
@@ -71,21 +72,23 @@
         body: Incoming,
         lease: Lease,
         (check, live): (AnswerEnd, LiveAnswer),
+        peer: Rc<SilentPeer>,
         until: Instant,
         reservations: (Option<MemoryReservation>, Option<MemoryReservation>),
     ) -> (StreamedAnswer, oneshot::Receiver<StreamEnd>) {
         let (end_sender, end) = oneshot::channel();
         let remaining = BODY_MAX.saturating_sub(first.len() as u64);
         let first = Some(first).filter(|first| !first.is_empty());
-        let stall = Box::pin(sleep(STALL_TIMEOUT));
+        let silence = Box::pin(sleep(SILENCE_MAX));
         (
             StreamedAnswer {
                 first,
                 body,
                 remaining,
-                stall,
+                silence,
                 until,
                 client_waits: false,
+                peer,
                 end: Some((lease, end_sender)),
                 check: Some(check),
                 held: None,
@@ -104,6 +107,28 @@
         true
     }
 
+    /// Records that nothing of the answer is there while the client waits for it. Ready with the reason once the
+    /// answer must be closed for that.
+    fn poll_silent(&mut self, cx: &mut Context<'_>) -> Poll<AnswerCloseReason> {
+        if !std::mem::replace(&mut self.client_waits, true) {
+            let since = Instant::now().max(self.until);
+            self.silence.as_mut().reset(since + SILENCE_MAX);
+            self.peer.set_silent_since(Some(since));
+        }
+        if self.peer.poll_given_up(cx).is_ready() {
+            return Poll::Ready(AnswerCloseReason::SilentAndNeeded);
+        }
+        ready!(self.silence.as_mut().poll(cx));
+        Poll::Ready(AnswerCloseReason::ServerSilent)
+    }
+
+    /// Records that the server goes on.
+    fn on_progress(&mut self) {
+        if std::mem::take(&mut self.client_waits) {
+            self.peer.set_silent_since(None);
+        }
+    }
+
     fn end(&mut self, complete: bool) {
         if let Some((lease, end_sender)) = self.end.take() {
             let _ = end_sender.send(if complete { StreamEnd::Complete(lease) } else { StreamEnd::Broken });
@@ -161,14 +186,10 @@
             }
             let Poll::Ready(next) = Pin::new(&mut self.body).poll_frame(cx) else {
                 // The time limit for the server runs only while the client waits.
-                if !std::mem::replace(&mut self.client_waits, true) {
-                    let limit = Instant::now().max(self.until) + STALL_TIMEOUT;
-                    self.stall.as_mut().reset(limit);
-                }
-                ready!(self.stall.as_mut().poll(cx));
-                return self.close(AnswerCloseReason::ServerSilent);
+                let reason = ready!(self.poll_silent(cx));
+                return self.close(reason);
             };
-            self.client_waits = false;
+            self.on_progress();
             match next {
                 None if self.hold_end(None) => {}
                 None => return Poll::Ready(None),
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -16,6 +16,7 @@
 mod outcomes;
 mod paced_answers;
 mod reload;
+mod silences;
 mod slow_discovery;
 mod slow_readers;
 mod slow_servers;
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -29,17 +29,19 @@
     Unsound,
     /// The process ends.
     ProcessEnds,
-    /// The server has sent nothing for long, past the deadline of the request.
+    /// The server has been silent past the deadline of the request for longer than any cut is known to last.
     ServerSilent,
     /// The answer is short, so its last byte is timed, and the time of its request is over.
     ShortAnswerLate,
     /// The process holds too much memory.
     Overload,
+    /// The server or the client is silent, and what the answer holds is needed for others.
+    SilentAndNeeded,
 }
 
 impl AnswerCloseReason {
     /// All reasons, in order.
-    pub const ALL: [AnswerCloseReason; 7] = [
+    pub const ALL: [AnswerCloseReason; 8] = [
         AnswerCloseReason::AnotherAnswerChosen,
         AnswerCloseReason::ClientGone,
         AnswerCloseReason::Unsound,
@@ -47,6 +49,7 @@
         AnswerCloseReason::ServerSilent,
         AnswerCloseReason::ShortAnswerLate,
         AnswerCloseReason::Overload,
+        AnswerCloseReason::SilentAndNeeded,
     ];
 
     /// The name in logs and tables.
@@ -59,6 +62,7 @@
             AnswerCloseReason::ServerSilent => "server-silent",
             AnswerCloseReason::ShortAnswerLate => "short-answer-late",
             AnswerCloseReason::Overload => "overload",
+            AnswerCloseReason::SilentAndNeeded => "silent-and-needed",
         }
     }
 
