The soak draws slow sources of the list and cuts of up to 20 s, and judges server-silent

Change: a fault list-pace (head late, pieces with pauses), a pace for a third of the sources in each plan, and one cut of 0.1 to 20 s of a building in which long answers have just begun. A close as server-silent is a complaint: no fault lasts as long.

--- a/agent/tests/worlds.rs
+++ b/agent/tests/worlds.rs
@@ -189,6 +189,7 @@
         "kind = 'list'\nfor = 1\nlist = 'down'",
         "kind = 'list'\nfor = 1\nlist = 'stale'",
         "kind = 'list-late'\nfor = 1\nlatency_ms = 300",
+        "kind = 'list-pace'\nfor = 1\nlatency_ms = 200\nbytes = 50\njitter_ms = 20",
         "kind = 'list-moves'",
         "kind = 'kill'\nfor = 0.2\nagents = ['agent-1']",
         "kind = 'upgrade'\nfor = 0.8\nevery = 1\nnew = 'well'\nagents = ['agent-1']",
--- a/lab/src/emulate/faults.rs
+++ b/lab/src/emulate/faults.rs
@@ -16,7 +16,7 @@
     pub(super) fn schedule_faults(&mut self) {
         for (fault, facts) in self.world.fault.iter().enumerate() {
             let targets: Vec<Option<usize>> = match facts.kind {
-                Kind::List | Kind::ListLate | Kind::ListMoves | Kind::Kill | Kind::Stall => {
+                Kind::List | Kind::ListLate | Kind::ListPace | Kind::ListMoves | Kind::Kill | Kind::Stall => {
                     self.world.agents_named(&facts.agents).into_iter().map(Some).collect()
                 }
                 _ if !facts.servers.is_empty() => {
@@ -38,7 +38,10 @@
     pub(super) fn fault(&mut self, fault: usize, target: Option<usize>, begins: bool) {
         let kind = self.world.fault[fault].kind;
         match (kind, target) {
-            (Kind::List | Kind::ListLate | Kind::ListMoves | Kind::Kill | Kind::Stall, Some(agent)) => {
+            (
+                Kind::List | Kind::ListLate | Kind::ListPace | Kind::ListMoves | Kind::Kill | Kind::Stall,
+                Some(agent),
+            ) => {
                 self.agent_fault(fault, agent, begins);
             }
             (Kind::Flood, _) => {
@@ -113,7 +116,9 @@
                 (one.ailment, one.stale) = (Ailment::None, None);
                 self.hurry_news(agent, now.plus(NEAR), false);
             }
-            (Kind::ListLate, _) => self.agents[agent].delay = if begins { ms } else { Duration::ZERO },
+            (Kind::ListLate | Kind::ListPace, _) => {
+                self.agents[agent].delay = if begins { ms } else { Duration::ZERO }
+            }
             (Kind::ListMoves, true) => self.forget_version(agent),
             (Kind::Kill, true) => {
                 self.evidence.outages.push(Outage { agent, from: now, to });
--- a/lab/src/soak/draw.rs
+++ b/lab/src/soak/draw.rs
@@ -27,6 +27,17 @@
 const ENOBUFS: i32 = 105;
 /// Sets the generator of slow peers apart from that of the other faults.
 const SLOW_PEERS_SEED: u64 = 0x510e_527f_ade6_82d1;
+/// Sets the generator of slow sources and long cuts apart from both.
+const LONG_SILENCES_SEED: u64 = 0x9b05_688c_2b3e_6c1f;
+/// An answer of discovery takes so long at the most, in milliseconds: two of them fit into the 6 s after which news count as told.
+const LIST_ANSWER_MOST_MS: f64 = 2_500.0;
+/// Pieces of an answer of discovery, of which the whole list has some 2 kB.
+const LIST_PIECES_MOST: u64 = 40;
+const LIST_BYTES: u64 = 2_400;
+/// How long a building is cut off, in seconds.
+const CUT_S: (f64, f64) = (0.1, 20.0);
+/// Buildings that are looked at for a time without other faults of their links.
+const CUTS_TRIED: usize = 8;
 /// The least memory that an agent may be given.
 const LEAST_MEMORY_MB: u64 = 16;
 /// Clients of a crowd at each agent that do not behave.
@@ -69,9 +80,70 @@
         world.fault.push(fault);
     }
     add_slow_peers(&mut world, seed, last);
+    add_long_silences(&mut world, seed, last);
     world
 }
 
+/// A pace of its own for some sources of the list, and a building that is cut off for long while answers and bodies are
+/// under way. They have a generator of their own too.
+fn add_long_silences(world: &mut World, seed: u64, last: f64) {
+    let mut random = Rng::with_seed(seed ^ LONG_SILENCES_SEED);
+    for agent in 0..world.agents {
+        if random.u8(0..3) == 0 {
+            let pace = list_pace(&mut random, last, format!("agent-{agent}"));
+            world.fault.push(pace);
+        }
+    }
+    let cuts = (0..CUTS_TRIED).filter_map(|_| long_cut(&mut random, world, last));
+    let longest = cuts.max_by(|a, b| a.lasts.unwrap_or(0.0).total_cmp(&b.lasts.unwrap_or(0.0)));
+    let Some(mut cut) = longest else { return };
+    // Answers that take seconds are under way in the building when it is cut off.
+    let building = cut.building.clone().unwrap_or_default();
+    let place = world.building.iter().position(|one| one.name == building);
+    let named = world.servers().into_iter().filter(|(_, home)| Some(*home) == place);
+    let servers = named.map(|(name, _)| name).collect();
+    let begins = cut.at;
+    cut.at += between(&mut random, 0.1, 0.8);
+    cut.lasts = cut.lasts.map(|lasts| (lasts - (cut.at - begins)).max(CUT_S.0));
+    let (latency_ms, bytes) = (Some(between(&mut random, 50.0, 400.0)), Some(random.u64(70_000..230_000)));
+    world.fault.push(Fault {
+        servers,
+        latency_ms,
+        bytes,
+        ..plain(Kind::Pause, begins, Some(cut.at - begins + 1.0))
+    });
+    world.fault.push(cut);
+}
+
+/// A source that takes up to [`LIST_ANSWER_MOST_MS`] for an answer, from its beginning or within it.
+fn list_pace(random: &mut Rng, last: f64, agent: String) -> Fault {
+    let (all_ms, head_share) =
+        (between(random, 50.0, LIST_ANSWER_MOST_MS), [0.0, 1.0, random.f64()][random.usize(0..3)]);
+    let pieces = random.u64(1..=LIST_PIECES_MOST);
+    let at = between(random, 0.0, last / 2.0);
+    Fault {
+        agents: vec![agent],
+        latency_ms: Some(all_ms * head_share),
+        bytes: Some(LIST_BYTES.div_ceil(pieces)),
+        jitter_ms: Some(all_ms * (1.0 - head_share) / pieces as f64),
+        ..plain(Kind::ListPace, at, Some(last - at))
+    }
+}
+
+/// A cut of a building that lasts until the next other fault of its links at the most.
+fn long_cut(random: &mut Rng, world: &World, last: f64) -> Option<Fault> {
+    let building = Some(world.building[random.usize(0..world.building.len())].name.clone());
+    let at = between(random, 0.5, last);
+    let ends = |fault: &Fault| fault.at + fault.lasts.unwrap_or(0.0);
+    let of_links = world.fault.iter().filter(|fault| fault.building == building);
+    let next = of_links.clone().filter(|fault| fault.at >= at).map(|fault| fault.at).fold(last, f64::min);
+    if of_links.clone().any(|fault| fault.at < at && ends(fault) > at) {
+        return None;
+    }
+    let lasts = between(random, CUT_S.0, CUT_S.1).min(next - at);
+    (lasts >= CUT_S.0).then(|| Fault { building, ..plain(Kind::Cut, at, Some(lasts)) })
+}
+
 /// Servers that pause within answers, short and long ones, in every plan; in one of three the least memory and a crowd of clients that
 /// do not behave. They have a generator of their own, so that the other faults of a seed stay what they were.
 fn add_slow_peers(world: &mut World, seed: u64, last: f64) {
--- a/lab/src/world/inject.rs
+++ b/lab/src/world/inject.rs
@@ -4,7 +4,7 @@
 use crate::fleet::switch::Switch;
 use crate::judge::evidence::{Book, Emptied, Outage, Silence, Word};
 use crate::standins::booking::{Booking, Reports};
-use crate::standins::discovery::{told_at_start, Ailment, Entry, Registry, View};
+use crate::standins::discovery::{told_at_start, Ailment, Entry, Pace, Registry, View};
 use crate::standins::link::{Links, Manner};
 use crate::standins::office::Offices;
 use crate::world::agents::{self, Agent, Upgrade};
@@ -122,6 +122,11 @@
             match fault.kind {
                 Kind::List => view.ail(fault.list.unwrap_or_default()),
                 Kind::ListLate => view.delay(ms(fault.latency_ms)),
+                Kind::ListPace => view.pace(Pace {
+                    before_head: ms(fault.latency_ms),
+                    piece_bytes: fault.bytes.unwrap_or_default() as usize,
+                    before_piece: ms(fault.jitter_ms),
+                }),
                 Kind::ListMoves => {
                     if let Ok(address) = view.move_away().await {
                         let _ = agent.lock().await.move_discovery(address).await;
@@ -377,6 +382,7 @@
             match self.fault.kind {
                 Kind::List => view.ail(Ailment::None),
                 Kind::ListLate => view.delay(Duration::ZERO),
+                Kind::ListPace => view.pace(Pace::default()),
                 Kind::Stall => agent.lock().await.stall(false).await,
                 Kind::DrainAgent => self.call_back(agent).await,
                 Kind::Garbage => self.garbage(false),
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -235,6 +235,9 @@
     List,
     /// The agents' discovery answers `latency_ms` late.
     ListLate,
+    /// The agents' discovery writes its answers slowly: the head `latency_ms` late, and then `bytes` at a time, each piece
+    /// `jitter_ms` after the one before.
+    ListPace,
     /// The agents' discovery moves, and they are told by SIGHUP.
     ListMoves,
     /// Agents are killed and started again after `for` seconds.
@@ -313,7 +316,10 @@
     /// Whether it happens to agents.
     fn is_of_agents(self) -> bool {
         use Kind::*;
-        matches!(self, List | ListLate | ListMoves | Kill | Stop | Stall | Upgrade | DrainAgent | Garbage)
+        matches!(
+            self,
+            List | ListLate | ListPace | ListMoves | Kill | Stop | Stall | Upgrade | DrainAgent | Garbage
+        )
     }
 }
 
@@ -629,8 +635,12 @@
             ("point", fault.point.is_some(), matches!(fault.kind, Break | CrashAt)),
             ("reports", fault.reports.is_some(), fault.kind == Reports),
             ("list", fault.list.is_some(), fault.kind == List),
-            ("latency_ms", fault.latency_ms.is_some(), matches!(fault.kind, Line | ListLate | Pause)),
-            ("bytes", fault.bytes.is_some(), matches!(fault.kind, CutAfter | Pause)),
+            (
+                "latency_ms",
+                fault.latency_ms.is_some(),
+                matches!(fault.kind, Line | ListLate | ListPace | Pause),
+            ),
+            ("bytes", fault.bytes.is_some(), matches!(fault.kind, CutAfter | ListPace | Pause)),
             ("direction", fault.direction.is_some(), matches!(fault.kind, CutAfter | HalfOpen)),
             ("idle_ms", fault.idle_ms.is_some(), fault.kind == Idle),
             (
--- a/lab/src/world/run.rs
+++ b/lab/src/world/run.rs
@@ -153,11 +153,13 @@
     }
 }
 
-/// False for a line that tells of an answer whose connection was closed for a reason that is not on the closed list.
+/// False for a line that tells of an answer whose connection was closed for a reason that is not on the closed list, or
+/// because its server was silent: no fault of a world is longer than the silences that the platform's pages name.
 fn closes_for_a_reason(line: &str) -> bool {
     let Some((_, rest)) = line.split_once(r#""message":"answer closed""#) else { return true };
     let reason = rest.split_once(r#""reason":""#).and_then(|(_, rest)| rest.split('"').next());
-    reason.is_some_and(|name| AnswerCloseReason::from_name(name).is_some())
+    let reason = reason.and_then(AnswerCloseReason::from_name);
+    reason.is_some_and(|reason| reason != AnswerCloseReason::ServerSilent)
 }
 
 impl Drop for Folder {
