A long answer that waits for memory is not held back for two seconds

Cause: two limits of 1 s each, one of the decision module and one of the agent, that add up to the platform's 2 s. Change: the module's limit is public (ANSWER_HOLD_MAX), and the agent waits 0.5 s for memory. Measured: the new test fails with 1 s (2 s in all) and passes with 0.5 s (1.5 s in all, in virtual time).

--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -40,9 +40,9 @@
 const STREAMED_READ_MAX: u64 = 8 * BODY_MAX;
 /// Interval of the check whether a server has read nothing of a streamed request for too long.
 const WRITE_STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// A streamed answer waits no longer for memory: the platform counts an answer as lost that is held back for
-/// 2 s.
-const STREAMING_MEMORY_WAIT_MAX: Duration = Duration::from_secs(1);
+/// A streamed answer waits no longer for memory: the decision module may have kept it back for
+/// [`ryelead::ANSWER_HOLD_MAX`] before, and an answer is lost that is held back for 2 s.
+const STREAMING_MEMORY_WAIT_MAX: Duration = Duration::from_millis(500);
 /// Time limit of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/agent/src/upstream/backend/tests.rs
+++ b/agent/src/upstream/backend/tests.rs
@@ -400,3 +400,17 @@
         assert_eq!((ended.outcome, ended.report), expected, "{body}");
     }
 }
+
+/// An answer that the decision module had kept back, and that then waited for memory, was held back for 2.002 s.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_waits_for_memory_is_not_held_back_until_it_is_lost() {
+    const LOST_AFTER: Duration = Duration::from_secs(2);
+    /// A process may be held up this long between reading its clock and writing.
+    const HELD_UP: Duration = Duration::from_millis(150);
+    let pool = Pool::new(4, Duration::from_secs(20), Duration::from_secs(60));
+    let backends = Backends::new(pool, MemoryBudget::new(0), Vec::new(), false);
+    let (call, started) = (post(4), Instant::now());
+    let reservation = backends.streaming_memory(&call, started + Duration::from_secs(60)).await;
+    let held_back = Duration::from_micros(ryelead::ANSWER_HOLD_MAX.0) + started.elapsed();
+    assert!(reservation.is_none() && held_back + HELD_UP < LOST_AFTER, "{held_back:?}");
+}
--- a/src/answers.rs
+++ b/src/answers.rs
@@ -1,10 +1,16 @@
 //! What the caller and the balancer know of answers that are still arriving, and why such an answer may be
 //! closed.
 
+use crate::api::Span;
+
 /// An answer of at most this many bytes is timed by its last byte, a longer one by its first (`DAYS`,
 /// "Size").
 pub const SHORT_ANSWER_MAX: u64 = 64 * 1024;
 
+/// The balancer keeps back an answer that is still arriving for no longer (1 s), whatever may still come. With
+/// what the caller itself holds it back, it must stay under the 2 s that lose it (`DAYS`, "Size").
+pub const ANSWER_HOLD_MAX: Span = Span(1_000_000);
+
 /// The length of a sound answer that is still arriving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerLength {
--- a/src/decide/forwarding.rs
+++ b/src/decide/forwarding.rs
@@ -8,7 +8,7 @@
 //! or not bytes arrived just before: its server may be writing, and what it gives must not be cut off.
 
 use super::{AttemptStage, Balancer, InFlightAttempt, FORWARD_TIMER};
-use crate::answers::AnswerLength;
+use crate::answers::{AnswerLength, ANSWER_HOLD_MAX};
 use crate::api::{Action, AttemptNo, RequestId, Span, Time};
 use std::cmp::Reverse;
 
@@ -16,9 +16,6 @@
 const REPLACEABLE_TIME: Span = Span(150_000);
 /// An answer of which nothing has arrived for this long (100 ms) may never end.
 const SILENCE: Span = Span(100_000);
-/// An answer is not kept back for longer (1 s), whatever may still come. The platform counts an answer as
-/// lost that is held back for 2 s.
-const HOLD_MAX: Span = Span(1_000_000);
 
 impl Balancer {
     /// The length of an answer has become known: a long one is forwarded, and one that states none is looked
@@ -47,7 +44,7 @@
                     server.in_flight -= 1;
                     server.stalled -= u32::from(in_flight.stalled);
                 }
-                for hold in [REPLACEABLE_TIME, HOLD_MAX] {
+                for hold in [REPLACEABLE_TIME, ANSWER_HOLD_MAX] {
                     actions.push(Action::SetTimer { at: now + hold, timer: FORWARD_TIMER });
                 }
             }
@@ -97,7 +94,7 @@
         let is_only_one = all.count() == 1;
         let is_silent = now.since(in_flight.answer.progressed_at) >= SILENCE;
         let can_be_replaced = is_silent && (!is_only_one || self.may_hedge(now, id));
-        client_has_waited >= Some(HOLD_MAX)
+        client_has_waited >= Some(ANSWER_HOLD_MAX)
             || !can_be_replaced && held_for(in_flight.answer.open_since) >= REPLACEABLE_TIME
     }
 
