--- a/agent/src/upstream/backend.rs
+++ b/agent/src/upstream/backend.rs
@@ -22,7 +22,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::{AnswerCloseReason, AnswerLength, Outcome, ServerId};
-use std::future::{poll_fn, Future};
+use std::future::{pending, poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -214,8 +214,15 @@
             informational_flag.store(true, Ordering::Relaxed)
         });
         let received = view.received();
-        let upload_budget = call.upload.as_ref().map(|upload| upload.budget());
-        let peer = self.pool.silent_peers().register();
+        let unread = async {
+            match &call.upload {
+                Some(upload) => {
+                    let peer = self.pool.silent_peers().register();
+                    write_stalled(&view, &peer, upload.budget()).await;
+                }
+                None => pending().await,
+            }
+        };
         view.arm(permit, BUFFERED_READ_MAX);
         let arrival = AnswerArrival::new();
         let complete = async {
@@ -226,7 +233,7 @@
             biased;
             answer = complete => answer,
             never = arrival.watch(&view, received, &saw_informational, owner) => match never {},
-            () = write_stalled(&view, &peer, upload_budget.unwrap_or_default()), if upload_budget.is_some() => {
+            () = unread => {
                 // What has come of an answer does not belong to a request that the server has not read.
                 set_close_reason(owner.close_recorder(), AnswerCloseReason::Unsound);
                 Err(AnswerError::RequestNotRead)
