--- a/agent/tests/worlds.rs
+++ b/agent/tests/worlds.rs
@@ -166,7 +166,7 @@
 /// Every kind of fault is injected, and the agent survives it with all rules kept.
 #[test]
 fn no_kind_of_fault_breaks_a_rule() {
-    const FAULTS: [&str; 27] = [
+    const FAULTS: [&str; 28] = [
         "kind = 'slow'\nfor = 1\nservers = ['a-1']\nfactor = 6",
         "kind = 'hang'\nfor = 1\nservers = ['a-1', 'b-1']",
         "kind = 'crash'\nfor = 0.5\nservers = ['a-*']",
