--- a/lab/src/soak/draw.rs
+++ b/lab/src/soak/draw.rs
@@ -32,8 +32,10 @@
 /// An answer of discovery takes so long at the most, in milliseconds: two of them fit into the 6 s after which news count as told.
 const LIST_ANSWER_MOST_MS: f64 = 2_500.0;
 /// Pieces of an answer of discovery, of which the whole list has some 2 kB.
-const LIST_PIECES_MOST: u64 = 40;
+const LIST_PIECES_MOST: u64 = 8;
 const LIST_BYTES: u64 = 2_400;
+/// How long a server drains that slow sources have to tell of, in seconds: longer than told late and the grace.
+const DRAIN_S: (f64, f64) = (6.0, 9.0);
 /// How long a building is cut off, in seconds.
 const CUT_S: (f64, f64) = (0.1, 20.0);
 /// Buildings that are looked at for a time without other faults of their links.
@@ -89,11 +91,16 @@
 fn add_long_silences(world: &mut World, seed: u64, last: f64) {
     let mut random = Rng::with_seed(seed ^ LONG_SILENCES_SEED);
     for agent in 0..world.agents {
-        if random.u8(0..3) == 0 {
+        if random.bool() {
             let pace = list_pace(&mut random, last, format!("agent-{agent}"));
             world.fault.push(pace);
         }
     }
+    let names: Vec<String> = world.servers().into_iter().map(|(name, _)| name).collect();
+    let servers = vec![names[random.usize(0..names.len())].clone()];
+    let at = between(&mut random, 0.0, last / 2.0);
+    let lasts = Some(between(&mut random, DRAIN_S.0, DRAIN_S.1));
+    world.fault.push(Fault { servers, ..plain(Kind::Drain, at, lasts) });
     let cuts = (0..CUTS_TRIED).filter_map(|_| long_cut(&mut random, world, last));
     let longest = cuts.max_by(|a, b| a.lasts.unwrap_or(0.0).total_cmp(&b.lasts.unwrap_or(0.0)));
     let Some(mut cut) = longest else { return };
@@ -120,7 +127,7 @@
     let (all_ms, head_share) =
         (between(random, 50.0, LIST_ANSWER_MOST_MS), [0.0, 1.0, random.f64()][random.usize(0..3)]);
     let pieces = random.u64(1..=LIST_PIECES_MOST);
-    let at = between(random, 0.0, last / 2.0);
+    let at = between(random, 0.0, last / 4.0);
     Fault {
         agents: vec![agent],
         latency_ms: Some(all_ms * head_share),
