--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, Instant};
 
 /// A call for the whole list that the decision module requested is reported as failed after this time, and read
@@ -101,27 +102,7 @@
                     active = following.wait_for(|active| *active) => if active.is_err() { return },
                 }
             }
-            let next = self.freshness.borrow_mut().next_call();
-            let answer = match next {
-                NextCall::LongPoll { from, hold, give_up_after } => {
-                    let id = self.start(&mut calls, connection.take(), Some(from), hold);
-                    let begin_by = Instant::now() + give_up_after;
-                    tokio::select! {
-                        answer = self.long_poll(&mut calls, id, begin_by) => answer.map_err(Unanswered::Error),
-                        _ = following.wait_for(|active| !active) => Err(Unanswered::Unfollowed),
-                    }
-                    .inspect_err(|error| {
-                        if matches!(error, Unanswered::Unfollowed) {
-                            calls.close(id);
-                        }
-                    })
-                }
-                NextCall::Immediate { .. } => {
-                    connection = None;
-                    self.poll_until_answered(&mut calls, next).await.map_err(Unanswered::Error)
-                }
-            };
-            match answer {
+            match self.next_answer(&mut calls, connection.take(), &mut following).await {
                 Ok(ended) => {
                     let (kept, pause) = self.take_answer(&mut calls, ended);
                     connection = kept;
@@ -140,6 +121,27 @@
         }
     }
 
+    /// Makes the next call, or a series of calls, and waits for an answer.
+    async fn next_answer(
+        &self,
+        calls: &mut Calls<S>,
+        kept: Option<S::Connection>,
+        following: &mut watch::Receiver<bool>,
+    ) -> Result<EndedCall<S::Connection>, Unanswered> {
+        let next = self.freshness.borrow_mut().next_call();
+        let NextCall::LongPoll { from, hold, give_up_after } = next else {
+            return self.poll_until_answered(calls, next).await.map_err(Unanswered::Error);
+        };
+        let id = self.start(calls, kept, Some(from), hold);
+        let begin_by = Instant::now() + give_up_after;
+        tokio::select! {
+            answer = self.long_poll(calls, id, begin_by) => return answer.map_err(Unanswered::Error),
+            _ = following.wait_for(|active| !active) => {}
+        }
+        calls.close(id);
+        Err(Unanswered::Unfollowed)
+    }
+
     /// Fetches the whole list whenever the decision module requests it.
     async fn fetch(&self) {
         let mut calls = self.no_calls();
