Calls beside late ones are fewer where answers of discovery come late

Cause: a watch was overtaken 0.5 s after its hold and again each 0.5 s, whatever the pace that had been seen. Change: after answers that came over 1.5 s late the watch is waited for as long (4 s at most) and the interval grows (2.5 s); half is forgotten with each answer. Past 1.5 s a watch on a dead connection can't be made good within 2 s of its end in any case. The histories of single agents hold as before.

--- a/agent/src/sources/freshness.rs
+++ b/agent/src/sources/freshness.rs
@@ -215,7 +215,8 @@
         }
         let max_hold_ms = self.policy.max_hold().as_millis() as u64;
         let hold = Duration::from_millis(self.random.u64(max_hold_ms / 2..=max_hold_ms));
-        NextCall::LongPoll { from, hold, give_up_after: hold + LONG_POLL_SLACK }
+        let give_up_after = hold + self.patience.long_poll_slack(LONG_POLL_SLACK);
+        NextCall::LongPoll { from, hold, give_up_after }
     }
 
     fn immediate_pacing(&self, default_interval: Duration) -> (Duration, Duration) {
--- a/agent/src/sources/freshness/patience.rs
+++ b/agent/src/sources/freshness/patience.rs
@@ -24,6 +24,12 @@
 /// an accepted answer, so that a call whose connection is dead hides no slow one, and any pace is met in the end.
 const PROTECTION_MIN: Duration = Duration::from_secs(30);
 const PROTECTION_MAX: Duration = Duration::from_secs(3600);
+/// After answers that came later than this, what a silent long poll hides can't be known in time by another call:
+/// such answers are waited for, since more calls would make a slow service slower.
+const LATE_ANSWER: Duration = Duration::from_millis(1500);
+/// The most that a long poll, and the interval between two calls, are prolonged to.
+const LATE_SLACK_MAX: Duration = Duration::from_secs(4);
+const LATE_INTERVAL_MAX: Duration = Duration::from_millis(2500);
 /// Calls that were made this recently count as equally old.
 const AGE_MIN: Duration = Duration::from_millis(100);
 
@@ -44,6 +50,9 @@
     calls_max: usize,
     /// The longest pause within the last answer that was accepted.
     pause_seen: Duration,
+    /// How late answers of a shared service come: half of it is forgotten with each answer.
+    lateness_seen: Duration,
+    is_local: bool,
     protection: Duration,
 }
 
@@ -51,12 +60,20 @@
     /// Patience with a source that has not answered yet; `is_local` if it is on the agent's own machine.
     pub fn new(is_local: bool) -> CallPatience {
         let calls_max = if is_local { LOCAL_CALLS_MAX } else { SHARED_CALLS_MAX };
-        CallPatience { calls_max, pause_seen: Duration::ZERO, protection: PROTECTION_MIN }
+        CallPatience {
+            calls_max,
+            pause_seen: Duration::ZERO,
+            lateness_seen: Duration::ZERO,
+            is_local,
+            protection: PROTECTION_MIN,
+        }
     }
 
-    /// Records an answer that was accepted, and the longest pause within it.
-    pub fn on_accepted(&mut self, longest_pause: Duration) {
+    /// Records an answer that was accepted, the longest pause within it, and how long after the end of its hold
+    /// it was whole.
+    pub fn on_accepted(&mut self, longest_pause: Duration, lateness: Duration) {
         self.pause_seen = longest_pause;
+        self.lateness_seen = lateness.max(self.lateness_seen / 2);
         self.protection = PROTECTION_MIN;
     }
 
@@ -78,14 +95,23 @@
         calls.iter().filter_map(until).filter(|until| *until > now).max()
     }
 
-    /// How many times the usual interval passes before the next of several calls: the more are in flight
-    /// without an answer, the longer.
-    pub fn interval_factor(&self, in_flight: usize) -> u32 {
-        if in_flight >= self.calls_max {
-            2
-        } else {
-            1
+    /// How long after its hold a long poll may still be answered, `usual` unless answers come late.
+    pub fn long_poll_slack(&self, usual: Duration) -> Duration {
+        if self.is_local || self.lateness_seen <= LATE_ANSWER {
+            return usual;
+        }
+        self.lateness_seen.clamp(usual, LATE_SLACK_MAX)
+    }
+
+    /// The interval before the next of several calls, longer than `usual` if answers come late or many are in
+    /// flight.
+    pub fn interval(&self, usual: Duration, in_flight: usize) -> Duration {
+        let is_full = in_flight >= self.calls_max;
+        let interval = if is_full { usual * 2 } else { usual };
+        if self.is_local || self.lateness_seen <= LATE_ANSWER {
+            return interval;
         }
+        interval.max(self.lateness_seen.min(LATE_INTERVAL_MAX))
     }
 
     /// The calls that have to be closed before another one is made, as indices in `calls`, which are in the order
--- a/agent/src/sources/freshness/patience/tests.rs
+++ b/agent/src/sources/freshness/patience/tests.rs
@@ -23,9 +23,9 @@
     let (now, mut patience) = (start(), CallPatience::new(false));
     let call = arriving(now, ms(0), ms(0));
     assert_eq!(patience.overtaken_at(call, now), now + ms(250));
-    patience.on_accepted(ms(400));
+    patience.on_accepted(ms(400), ms(0));
     assert_eq!(patience.overtaken_at(call, now), now + ms(600));
-    patience.on_accepted(ms(30_000));
+    patience.on_accepted(ms(30_000), ms(0));
     assert_eq!(patience.overtaken_at(call, now), now + ms(750), "what a silent answer hides is due");
     let call = waiting(now, ms(0));
     assert_eq!(patience.overtaken_at(call, now + ms(500)), now + ms(500));
@@ -77,7 +77,7 @@
     assert_eq!(patience.calls_to_close(now, &with_oldest(ms(29_999))), [1]);
     assert_eq!(patience.calls_to_close(now, &with_oldest(ms(30_000))), [0]);
     assert_eq!(patience.calls_to_close(now, &with_oldest(ms(59_999))), [1], "60 s from now on");
-    patience.on_accepted(ms(0));
+    patience.on_accepted(ms(0), ms(0));
     assert_eq!(patience.calls_to_close(now, &with_oldest(ms(30_000))), [0], "30 s again");
 }
 
@@ -100,3 +100,21 @@
         assert!(heard_after.is_some_and(|after| after <= 4 * pace_s + 30), "{pace_s} s: {heard_after:?}");
     }
 }
+
+/// Late answers are waited for; how late they were is forgotten step by step, and a local source is never waited for.
+#[test]
+fn calls_to_a_service_whose_answers_come_late_are_fewer() {
+    let (usual, local) = (ms(500), true);
+    let mut patience = CallPatience::new(!local);
+    patience.on_accepted(ms(0), ms(1500));
+    assert_eq!((patience.long_poll_slack(usual), patience.interval(usual, 1)), (usual, usual));
+    patience.on_accepted(ms(0), ms(3200));
+    assert_eq!((patience.long_poll_slack(usual), patience.interval(usual, 1)), (ms(3200), ms(2500)));
+    patience.on_accepted(ms(0), ms(0));
+    assert_eq!(patience.long_poll_slack(usual), ms(1600));
+    patience.on_accepted(ms(0), ms(0));
+    assert_eq!((patience.long_poll_slack(usual), patience.interval(usual, 4)), (usual, ms(1000)));
+    let mut patience = CallPatience::new(local);
+    patience.on_accepted(ms(0), ms(9000));
+    assert_eq!((patience.long_poll_slack(usual), patience.interval(usual, 1)), (usual, usual));
+}
--- a/agent/src/sources/platform.rs
+++ b/agent/src/sources/platform.rs
@@ -4,7 +4,7 @@
 mod calls;
 mod connection;
 
-use self::calls::{CallId, Calls, EndedCall};
+use self::calls::{CallId, CallTiming, Calls, EndedCall};
 use self::connection::Source;
 use crate::driver::Driver;
 use crate::list::{DiscoveryCommands, ListReply};
@@ -188,7 +188,7 @@
     ) -> CallId {
         let closed = self.freshness.borrow_mut().patience().calls_to_close(Instant::now(), &calls.states());
         calls.close_indices(&closed);
-        calls.start(kept, path(from, hold), from.is_none())
+        calls.start(kept, path(from, hold), from.is_none(), hold)
     }
 
     /// Waits for the answer of a long poll, or of an earlier call that tells something new, until the long poll
@@ -237,8 +237,8 @@
                     return Err(PollError::TimedOut);
                 }
                 series.push(self.start(calls, None, from, Duration::ZERO));
-                let factor = self.freshness.borrow_mut().patience().interval_factor(calls.count());
-                due = now + if is_last(series.len()) { call_timeout } else { interval * factor };
+                let interval = self.freshness.borrow_mut().patience().interval(interval, calls.count());
+                due = now + if is_last(series.len()) { call_timeout } else { interval };
             }
             let wait_until = arriving_until.map_or(due, |until| until.max(due));
             tokio::select! {
@@ -286,12 +286,12 @@
         calls: &mut Calls<S>,
         ended: EndedCall<S::Connection>,
     ) -> (Option<S::Connection>, Duration) {
-        let EndedCall { asks_all, sent_at, longest_pause, result: Ok((list, kept)), .. } = ended else {
+        let EndedCall { asks_all, timing, result: Ok((list, kept)), .. } = ended else {
             return (None, Duration::ZERO);
         };
         let list = ListReply { all: list.all || asks_all, ..list };
         let is_news = self.is_news(&list);
-        let (acceptance, pause) = self.apply_list(list, sent_at, longest_pause);
+        let (acceptance, pause) = self.apply_list(list, timing);
         let counts_anew = self.freshness.borrow().version().is_none();
         if counts_anew || (is_news && acceptance == Acceptance::Accept) {
             // What the other calls have to tell is known, or means nothing any more.
@@ -303,17 +303,13 @@
     }
 
     /// Applies a list; returns whether it was accepted, and the pause before the next call.
-    fn apply_list(
-        &self,
-        list: ListReply,
-        sent_at: Instant,
-        longest_pause: Duration,
-    ) -> (Acceptance, Duration) {
+    fn apply_list(&self, list: ListReply, timing: CallTiming) -> (Acceptance, Duration) {
         let (now, known) = (Instant::now(), self.freshness.borrow().version());
-        let (acceptance, pause) = self.freshness.borrow_mut().on_answer(now, list.rev, now - sent_at);
+        let (acceptance, pause) = self.freshness.borrow_mut().on_answer(now, list.rev, now - timing.sent_at);
         match acceptance {
             Acceptance::Accept => {
-                self.freshness.borrow_mut().patience().on_accepted(longest_pause);
+                let lateness = now.saturating_duration_since(timing.due_at);
+                self.freshness.borrow_mut().patience().on_accepted(timing.longest_pause, lateness);
                 if self.failure_logged.replace(false) {
                     log(&format!("discovery at {}: lists are received again", self.address));
                 }
--- a/agent/src/sources/platform/calls.rs
+++ b/agent/src/sources/platform/calls.rs
@@ -19,8 +19,19 @@
 /// The result of a call's task, and which call it was.
 type CallResult<Connection> = (CallId, Result<ListAnswer<Connection>, PollError>);
 
+/// When a call was made, when its answer was due, and how its answer arrived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallTiming {
+    pub(super) sent_at: Instant,
+    /// The end of its hold.
+    pub(super) due_at: Instant,
+    /// The longest time without a byte between the head and the end of the answer.
+    pub(super) longest_pause: Duration,
+}
+
 struct CallInFlight {
     id: CallId,
+    hold: Duration,
     /// The whole list was asked for.
     asks_all: bool,
     /// Another call's answer has been accepted since this one was made.
@@ -34,8 +45,7 @@
     pub(super) id: CallId,
     pub(super) asks_all: bool,
     pub(super) is_overtaken: bool,
-    pub(super) sent_at: Instant,
-    pub(super) longest_pause: Duration,
+    pub(super) timing: CallTiming,
     pub(super) result: Result<ListAnswer<Connection>, PollError>,
 }
 
@@ -56,15 +66,21 @@
         Calls { source, metrics, tasks, in_flight, answer_began, next_id: 0 }
     }
 
-    /// Makes a call, on the kept connection if there is one.
-    pub(super) fn start(&mut self, kept: Option<S::Connection>, path: String, asks_all: bool) -> CallId {
+    /// Makes a call that the service may hold, on the kept connection if there is one.
+    pub(super) fn start(
+        &mut self,
+        kept: Option<S::Connection>,
+        path: String,
+        asks_all: bool,
+        hold: Duration,
+    ) -> CallId {
         self.metrics.count(Count::ListCall);
         let id = CallId(self.next_id);
         self.next_id += 1;
         let progress = CallProgress::new(Rc::clone(&self.answer_began));
         let call = self.source.clone().call(kept, path, Rc::clone(&progress));
         let task = self.tasks.spawn_local(async move { (id, call.await) });
-        self.in_flight.push(CallInFlight { id, asks_all, is_overtaken: false, progress, task });
+        self.in_flight.push(CallInFlight { id, hold, asks_all, is_overtaken: false, progress, task });
         id
     }
 
@@ -78,12 +94,14 @@
                 None => pending().await,
             };
             let Some(index) = self.in_flight.iter().position(|call| call.id == id) else { continue };
-            let CallInFlight { asks_all, is_overtaken, progress, .. } = self.in_flight.remove(index);
+            let CallInFlight { hold, asks_all, is_overtaken, progress, .. } = self.in_flight.remove(index);
             if result.is_err() {
                 self.metrics.count(Count::ListFailed);
             }
-            let (sent_at, longest_pause) = (progress.state().sent_at, progress.longest_pause());
-            return EndedCall { id, asks_all, is_overtaken, sent_at, longest_pause, result };
+            let sent_at = progress.state().sent_at;
+            let longest_pause = progress.longest_pause();
+            let timing = CallTiming { sent_at, due_at: sent_at + hold, longest_pause };
+            return EndedCall { id, asks_all, is_overtaken, timing, result };
         }
     }
 
--- a/agent/src/sources/platform/tests.rs
+++ b/agent/src/sources/platform/tests.rs
@@ -339,3 +339,141 @@
         }
     }
 }
+
+/// A service that works through the calls of all agents in turn, also through those that have been closed.
+#[derive(Clone)]
+struct SharedSource {
+    changes: Rc<Vec<Duration>>,
+    start: Instant,
+    answer_time: Duration,
+    free_at: Rc<Cell<Instant>>,
+    calls: Rc<Cell<usize>>,
+    /// When this agent was told each version, from 2 on.
+    told: Rc<RefCell<Vec<Duration>>>,
+}
+
+impl SharedSource {
+    fn version(&self) -> i64 {
+        1 + self.changes.iter().filter(|change| **change <= self.start.elapsed()).count() as i64
+    }
+}
+
+impl fmt::Display for SharedSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a shared service")
+    }
+}
+
+impl Source for SharedSource {
+    type Connection = ();
+
+    async fn call(
+        self,
+        _: Option<()>,
+        path: String,
+        progress: Rc<CallProgress>,
+    ) -> Result<ListAnswer<()>, PollError> {
+        self.calls.set(self.calls.get() + 1);
+        let parameter = |name: &str| -> Option<u64> {
+            path.split(['?', '&']).find_map(|part| part.strip_prefix(name))?.parse().ok()
+        };
+        let from = parameter("from=").map_or(0, |from| from as i64);
+        let until = Instant::now() + Duration::from_millis(parameter("hold_ms=").unwrap_or(0));
+        while self.version() <= from && Instant::now() < until {
+            let next = self.changes.iter().map(|change| self.start + *change);
+            let next = next.filter(|at| *at > Instant::now()).fold(until, Instant::min);
+            tokio::time::sleep_until(next).await;
+        }
+        let done_at = self.free_at.get().max(Instant::now()) + self.answer_time;
+        self.free_at.set(done_at);
+        let rev = self.version();
+        tokio::time::sleep_until(done_at).await;
+        progress.on_head();
+        progress.on_data();
+        let mut told = self.told.borrow_mut();
+        while (told.len() as i64) < rev - 1 {
+            told.push(self.start.elapsed());
+        }
+        Ok((ListReply { rev, all: false, targets: Entries::default() }, None))
+    }
+}
+
+/// Plays 300 agents before a service that takes this long for an answer. Returns the calls of 80 s, and how late the
+/// last agent knew a change.
+fn many_agents(answer_time: Duration) -> (usize, Duration) {
+    run(async move {
+        let start = Instant::now();
+        let shared = SharedSource {
+            changes: Rc::new([20, 35, 36, 50].map(Duration::from_secs).to_vec()),
+            start,
+            answer_time,
+            free_at: Rc::new(Cell::new(start)),
+            calls: Rc::default(),
+            told: Rc::default(),
+        };
+        let mut agents = tokio::task::JoinSet::new();
+        let mut told = Vec::new();
+        for seed in 0..AGENTS {
+            let source = SharedSource { told: Rc::default(), ..shared.clone() };
+            told.push(Rc::clone(&source.told));
+            agents.spawn_local(poll(source, seed, AGENTS as u32));
+        }
+        sleep(MANY_AGENTS_TIME).await;
+        let lateness = |(i, change): (usize, &Duration), told: &[Duration]| {
+            told.get(i).map_or(Duration::MAX, |at| *at - *change)
+        };
+        let latest = told.iter().flat_map(|told| {
+            let (told, changes) = (told.borrow(), shared.changes.iter().enumerate());
+            changes.map(|change| lateness(change, &told)).collect::<Vec<_>>()
+        });
+        (shared.calls.get(), latest.max().unwrap())
+    })
+}
+
+const AGENTS: u64 = 300;
+const MANY_AGENTS_TIME: Duration = Duration::from_secs(80);
+
+/// Calls that are made beside late ones must not make a service slower that is slow because of its many callers.
+#[test]
+fn many_agents_are_no_crowd_before_a_slow_discovery() {
+    let (quick_calls, _) = many_agents(Duration::from_millis(3));
+    for answer_ms in [9, 15] {
+        let answer_time = Duration::from_millis(answer_ms);
+        let (calls, latest) = many_agents(answer_time);
+        // Two changes come one after the other: the answers to both take this long.
+        let due = answer_time * 2 * AGENTS as u32 + Duration::from_secs(2);
+        assert!(
+            calls <= quick_calls && latest <= due,
+            "{answer_ms} ms: {calls} of {quick_calls}, {latest:?}"
+        );
+    }
+    // One that can't answer all: each agent calls once in 3 s at the most.
+    let (calls, _) = many_agents(Duration::from_millis(30));
+    assert!(calls as u64 <= AGENTS * MANY_AGENTS_TIME.as_secs() / 3, "{calls}");
+}
+
+async fn poll(source: SharedSource, seed: u64, balancers: u32) {
+    let settings = Settings {
+        discovery: ryelead::Discovery::OnRequest,
+        balancers,
+        list_refresh_interval: Span::from_ms(10_000.0),
+        ..Settings::default()
+    };
+    let policy = PollPolicy::from_settings(&settings);
+    let second = Duration::from_secs(1);
+    let backends = Backends::new(Pool::new(4, second, second), MemoryBudget::new(1 << 20), Vec::new(), false);
+    let commands = DiscoveryCommands::new(SocketAddr::from(([127, 0, 0, 1], 1)));
+    let driver = Driver::new(settings, seed, (&[], &[]), None, backends, Rc::clone(&commands)).unwrap();
+    tokio::task::spawn_local(driver.clone().run());
+    let freshness = RefCell::new(Freshness::new(policy, Some(1), seed));
+    let (failure_logged, unreadable_logged) = (Cell::new(true), Cell::new(false));
+    let poller = Poller {
+        driver: &driver,
+        commands: &commands,
+        address: source,
+        freshness,
+        failure_logged,
+        unreadable_logged,
+    };
+    poller.follow().await;
+}
