The decision module does not panic for a held answer whose client has left

Cause: the timer of held answers looked at every attempt whose answer is held, also where the client had left; may_hedge indexed the active requests by an id that had gone, and the panic dropped the timer with all answers that were due then. Change: held answers of requests that have gone are passed over, and may_hedge is false for them.

--- a/src/decide/slow_answers.rs
+++ b/src/decide/slow_answers.rs
@@ -68,9 +68,9 @@
         self.in_flight_attempts.range((id, 0)..=(id, u32::MAX)).all(|(_, attempt)| attempt.stalled)
     }
 
-    /// Whether a request may be sent once more while its attempts are in flight.
+    /// Whether a request may be sent once more while its attempts are in flight: not if its client has left.
     pub(super) fn may_hedge(&self, now: Time, id: RequestId) -> bool {
-        let active = &self.active_requests[&id];
+        let Some(active) = self.active_requests.get(&id) else { return false };
         self.attempt_rules(active, now).0 != AllowedServers::NoServer
             && !self.is_too_late(now, active)
             && self.retry_tokens >= HEDGE_COST
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -14,7 +14,10 @@
 }
 
 fn submit(harness: &mut Harness, time_left_ms: f64) -> RequestId {
-    let id = RequestId(1);
+    submit_as(harness, RequestId(1), time_left_ms)
+}
+
+fn submit_as(harness: &mut Harness, id: RequestId, time_left_ms: f64) -> RequestId {
     let actions = harness.deliver(Event::Request(Request::new(id, ClassId(0), Span::from_ms(time_left_ms))));
     assert_eq!(sends(actions), 1);
     id
@@ -183,3 +186,24 @@
         }
     }
 }
+
+/// Review case 9: the timer of held answers panicked at a request whose client had left, and held the others back.
+#[test]
+fn an_answer_whose_client_has_left_holds_no_other_back() {
+    for hedging in [true, false] {
+        let mut harness = harness(Effect::Idempotent, hedging);
+        let left = submit_as(&mut harness, RequestId(1), 4_000.0);
+        let waiting = submit_as(&mut harness, RequestId(2), 4_000.0);
+        for id in [left, waiting] {
+            begin(&mut harness, id, 0, AnswerLength::Open);
+        }
+        harness.deliver(Event::ClientGone { request: left });
+        let mut actions = harness.advance(Span::from_ms(60.0)).to_vec();
+        for _ in 0..3 {
+            let event = Event::AnswerProgressed { request: waiting, attempt: AttemptNo(0) };
+            actions.extend_from_slice(harness.deliver(event));
+            actions.extend(harness.advance(Span::from_ms(60.0)));
+        }
+        assert_eq!(forwarded(&actions).len(), 1, "hedging {hedging}: {actions:?}");
+    }
+}
