--- a/src/decide/forwarding.rs
+++ b/src/decide/forwarding.rs
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Forwards the answers that have been kept back for long enough. An attempt may outlive its request, whose
-    /// client has left: its answer is forwarded to nobody.
+    /// Forwards the answers that have been kept back for long enough. An attempt may outlive its
+    /// request, whose client has left: its answer is forwarded to nobody.
     pub(super) fn forward_held_answers(&mut self, now: Time, actions: &mut Vec<Action>) {
         let open = self.in_flight_attempts.iter().filter(|(_, in_flight)| is_held_back(in_flight));
         let mut ids: Vec<RequestId> = open.map(|(key, _)| key.0).collect();
